Let lanes and the control thread speak through function fields, whatever the encoding

Cause: traffic and control named pgwire's types, so no second encoding could stand beside it. The lane now has doors (Callers, Upstream) and the thread takes the actions themselves; pgwire fills them in.

--- a/internal/control/thread.go
+++ b/internal/control/thread.go
@@ -6,7 +6,6 @@
 
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/peer"
-	"buckthornport.example/buckthornport/internal/pgwire"
 	"buckthornport.example/buckthornport/internal/platform"
 	"buckthornport.example/buckthornport/internal/tick"
 	"buckthornport.example/buckthornport/internal/upstream"
@@ -18,10 +17,12 @@
 // Thread is the control thread of a node: one loop, whose slow calls run beside it and come back as events.
 type Thread struct {
 	// Status, Promise, Promote and Follow speak to one server of a group.
-	Status  func(ctx context.Context, address string) (upstream.Status, error)
-	Promise func(ctx context.Context, address string, term uint64, node string) (pgwire.Granted, error)
-	Promote func(ctx context.Context, address string, term uint64, node string) (pgwire.Granted, error)
-	Follow  func(ctx context.Context, address string, term uint64, primary string) (pgwire.Granted, error)
+	Status  func(ctx context.Context, a upstream.Probe) (upstream.Status, error)
+	Promise func(ctx context.Context, a upstream.AskPromise) (upstream.Granted, error)
+	Promote func(ctx context.Context, a upstream.OrderPromote) (upstream.Granted, error)
+	Follow  func(ctx context.Context, a upstream.OrderFollow) (upstream.Granted, error)
+	// Refused reports whether an error means that the VM answered and nobody listens there.
+	Refused func(err error) bool
 	// Send sends a message to a peer.
 	Send func(a peer.Send)
 	// Put writes audit records as one object; Intend and Announce tell the table service about promotions.
@@ -35,14 +36,13 @@
 	// Note takes a record of the audit trail for the node's own log.
 	Note func(r operator.Record)
 
-	node string
 	ctx  context.Context
 	loop *tick.Loop[Event, Action]
 }
 
-// NewThread returns the control thread of the named node.
-func NewThread(ctx context.Context, node string, clock tick.Clock, n *Node) *Thread {
-	t := &Thread{node: node, ctx: ctx}
+// NewThread returns the control thread of a node.
+func NewThread(ctx context.Context, clock tick.Clock, n *Node) *Thread {
+	t := &Thread{ctx: ctx}
 	t.loop = tick.NewLoop(clock, n.Step, t.perform)
 	return t
 }
@@ -110,10 +110,10 @@
 func (t *Thread) probe(a upstream.Probe) {
 	ctx, stop := t.within(upstream.ProbeTimeout)
 	defer stop()
-	st, err := t.Status(ctx, a.Address)
+	st, err := t.Status(ctx, a)
 	if err != nil {
-		if pgwire.Refused(err) || ctx.Err() == nil {
-			t.Post(upstream.ProbeFailed{Server: a.Server, Refused: pgwire.Refused(err)})
+		if t.Refused(err) || ctx.Err() == nil {
+			t.Post(upstream.ProbeFailed{Server: a.Server, Refused: t.Refused(err)})
 		}
 		return
 	}
@@ -123,7 +123,7 @@
 func (t *Thread) askPromise(a upstream.AskPromise) {
 	ctx, stop := t.within(upstream.PromiseTimeout)
 	defer stop()
-	if g, err := t.Promise(ctx, a.Address, a.Term, t.node); err == nil {
+	if g, err := t.Promise(ctx, a); err == nil {
 		t.Post(upstream.Promised{Server: a.Server, Term: a.Term, Granted: g.Granted, Status: g.Status})
 	}
 }
@@ -131,7 +131,7 @@
 func (t *Thread) orderPromote(a upstream.OrderPromote) {
 	ctx, stop := t.within(upstream.OpenTimeout)
 	defer stop()
-	if g, err := t.Promote(ctx, a.Address, a.Term, t.node); err == nil {
+	if g, err := t.Promote(ctx, a); err == nil {
 		t.Post(upstream.Promoted{Server: a.Server, Term: a.Term, Done: g.Granted, Status: g.Status})
 	}
 }
@@ -139,5 +139,5 @@
 func (t *Thread) orderFollow(a upstream.OrderFollow) {
 	ctx, stop := t.within(upstream.OpenTimeout)
 	defer stop()
-	_, _ = t.Follow(ctx, a.Address, a.Term, a.Primary)
+	_, _ = t.Follow(ctx, a)
 }
--- a/internal/pgwire/caller.go
+++ b/internal/pgwire/caller.go
@@ -28,7 +28,7 @@
 type Caller struct {
 	id         caller.SessionID
 	front      *Front
-	lane       Lane
+	post       func(e caller.Event)
 	conn       net.Conn
 	frames     *frameReader
 	user       string
@@ -50,11 +50,6 @@
 	ending  bool
 }
 
-// ID is the number of the caller's session.
-func (c *Caller) ID() caller.SessionID {
-	return c.id
-}
-
 // Exchange is one request of a caller on its way through the node.
 type Exchange struct {
 	caller *Caller
@@ -65,8 +60,8 @@
 	failed bool
 }
 
-// Exchange returns the request with the given number if it still waits for its answer.
-func (c *Caller) Exchange(seq uint64) (*Exchange, bool) {
+// exchange returns the request with the given number if it still waits for its answer.
+func (c *Caller) exchange(seq uint64) (*Exchange, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.current == nil || c.current.seq != seq {
@@ -77,9 +72,8 @@
 
 // serve runs the session until the caller leaves or the connection breaks.
 func (c *Caller) serve(token string) {
-	c.lane.Attach(c)
 	defer c.leave()
-	c.lane.Post(c.opening(token))
+	c.post(c.opening(token))
 	for {
 		var u unit
 		var err error
@@ -98,8 +92,7 @@
 
 func (c *Caller) leave() {
 	c.Kill()
-	c.lane.Post(caller.SessionClosed{Session: c.id})
-	c.lane.Detach(c.id)
+	c.post(caller.SessionClosed{Session: c.id})
 }
 
 // Kill closes the connection; its goroutine then ends the session.
@@ -205,7 +198,7 @@
 	c.mu.Lock()
 	c.current = x
 	c.mu.Unlock()
-	c.lane.Post(caller.Asked{Session: c.id, Seq: c.seq, Statement: c.statement(u)})
+	c.post(caller.Asked{Session: c.id, Seq: c.seq, Statement: c.statement(u)})
 	if !c.await() {
 		return false
 	}
@@ -278,7 +271,7 @@
 		if err != nil || t.Database != c.database {
 			return c.write(errorBytes("ERROR", "22023", "token not accepted for this database", "", "", c.status))
 		}
-		c.lane.Post(caller.TokenGiven{Session: c.id, Floor: t.Floor})
+		c.post(caller.TokenGiven{Session: c.id, Floor: t.Floor})
 	case f.Setting == keyParameter:
 		c.key = f.Value
 	case f.Tag == "DISCARD ALL", f.Tag == "DEALLOCATE":
--- a/internal/pgwire/front.go
+++ b/internal/pgwire/front.go
@@ -16,6 +16,7 @@
 	"github.com/xdg-go/scram"
 
 	"buckthornport.example/buckthornport/internal/caller"
+	"buckthornport.example/buckthornport/internal/traffic"
 	"buckthornport.example/buckthornport/pkg/bundle"
 	"buckthornport.example/buckthornport/pkg/session"
 )
@@ -31,13 +32,6 @@
 	codeVersion3    = 196608
 )
 
-// Lane is a traffic lane as the wire sees it.
-type Lane struct {
-	Attach func(c *Caller)
-	Detach func(id caller.SessionID)
-	Post   func(e caller.Event)
-}
-
 // Credentials say how a caller proves who it is; a nil Stored lets it in without a password.
 type Credentials struct {
 	Stored *scram.StoredCredentials
@@ -45,8 +39,8 @@
 
 // Front accepts callers' connections.
 type Front struct {
-	// Lane returns the lane of a database, and whether the database is known.
-	Lane func(database string) (Lane, bool)
+	// Lane returns the function that posts events to a database's lane, and whether the database is known.
+	Lane func(database string) (func(e caller.Event), bool)
 	// Authorize returns how a user has to prove itself for a database, or an error if it may not use it.
 	Authorize func(user, database string) (Credentials, error)
 	// Classify returns the class of a statement and the version of the bundle that says so.
@@ -148,6 +142,58 @@
 	c.serve(token)
 }
 
+// Callers is the door through which a database's lane answers its callers.
+func (f *Front) Callers(database string) traffic.Callers {
+	return traffic.Callers{
+		Waiting: func(id caller.SessionID, seq uint64) bool {
+			_, ok := f.exchange(id, seq)
+			return ok
+		},
+		Release:  func(a caller.Release) { f.answer(a.Session, a.Seq, func(x *Exchange) { x.Release(a.Floor) }) },
+		Complete: func(a caller.Complete) { f.answer(a.Session, a.Seq, func(x *Exchange) { x.Complete(a.Tag, a.Floor) }) },
+		Refuse:   func(a caller.Refuse) { f.answer(a.Session, a.Seq, func(x *Exchange) { x.Refuse(a) }) },
+		End: func(id caller.SessionID) {
+			if c, ok := f.caller(id); ok {
+				c.End()
+			}
+		},
+		Stop: func() { f.kill(database) },
+	}
+}
+
+func (f *Front) answer(id caller.SessionID, seq uint64, with func(x *Exchange)) {
+	if x, ok := f.exchange(id, seq); ok {
+		with(x)
+	}
+}
+
+func (f *Front) caller(id caller.SessionID) (*Caller, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c, ok := f.callers[uint32(id)]
+	return c, ok && c.id == id
+}
+
+// exchange returns a session's request if it still waits for its answer.
+func (f *Front) exchange(id caller.SessionID, seq uint64) (*Exchange, bool) {
+	c, ok := f.caller(id)
+	if !ok {
+		return nil, false
+	}
+	return c.exchange(seq)
+}
+
+// kill closes all callers of a database at once.
+func (f *Front) kill(database string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.callers {
+		if c.database == database {
+			go c.Kill()
+		}
+	}
+}
+
 func (f *Front) forget(c *Caller) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -220,7 +266,7 @@
 	c, ok := f.callers[pid]
 	f.mu.Unlock()
 	if ok && c.secret == secret {
-		c.lane.Post(caller.CancelAsked{Session: c.id})
+		c.post(caller.CancelAsked{Session: c.id})
 	}
 }
 
@@ -237,7 +283,7 @@
 	if f.draining.Load() {
 		return nil, "", &unitError{code: "57P03", text: "this proxy is leaving, connect again"}
 	}
-	lane, ok := f.Lane(database)
+	post, ok := f.Lane(database)
 	if !ok {
 		return nil, "", &unitError{code: "3D000", text: fmt.Sprintf("database %q does not exist", database)}
 	}
@@ -245,7 +291,7 @@
 		return nil, "", err
 	}
 	c := &Caller{
-		id: caller.SessionID(f.last.Add(1)), front: f, lane: lane, conn: conn, user: user, database: database,
+		id: caller.SessionID(f.last.Add(1)), front: f, post: post, conn: conn, user: user, database: database,
 		frames: newFrameReader(conn, callerBuffer, MaxFrameBytes), secret: randomSecret(), status: 'I',
 		statements: map[string]prepared{}, answered: make(chan struct{}, 1), dead: make(chan struct{}),
 	}
--- a/internal/pgwire/group.go
+++ b/internal/pgwire/group.go
@@ -21,20 +21,15 @@
 
 // GroupControl asks one server of a group questions and gives it orders, over one connection that it opens as needed.
 type GroupControl struct {
+	node   string
 	config func(address string) (*pgconn.Config, error)
 	mu     sync.Mutex
 	conns  map[string]*pgconn.PgConn
 }
 
-// NewGroupControl returns a control whose connections are set up by config.
-func NewGroupControl(config func(address string) (*pgconn.Config, error)) *GroupControl {
-	return &GroupControl{config: config, conns: map[string]*pgconn.PgConn{}}
-}
-
-// Granted is a server's answer to an order.
-type Granted struct {
-	Granted bool            `json:"granted"`
-	Status  upstream.Status `json:"status"`
+// NewGroupControl returns the named node's control, whose connections are set up by config.
+func NewGroupControl(node string, config func(address string) (*pgconn.Config, error)) *GroupControl {
+	return &GroupControl{node: node, config: config, conns: map[string]*pgconn.PgConn{}}
 }
 
 // Held is a primary's answer to the question what a majority holds.
@@ -46,33 +41,34 @@
 }
 
 // Status asks a server for its status.
-func (g *GroupControl) Status(ctx context.Context, address string) (upstream.Status, error) {
+func (g *GroupControl) Status(ctx context.Context, a upstream.Probe) (upstream.Status, error) {
 	var st upstream.Status
-	return st, g.ask(ctx, address, "SHOW group_status", &st)
+	return st, g.ask(ctx, a.Address, "SHOW group_status", &st)
 }
 
-// Promise asks a server to refuse all terms below term for the named node.
-func (g *GroupControl) Promise(ctx context.Context, address string, term uint64, node string) (Granted, error) {
-	var r Granted
-	return r, g.ask(ctx, address, fmt.Sprintf("SELECT group_promise(%d, %s)", term, quote(node)), &r)
+// Promise asks a server to refuse all lower terms for this node alone.
+func (g *GroupControl) Promise(ctx context.Context, a upstream.AskPromise) (upstream.Granted, error) {
+	var r upstream.Granted
+	return r, g.ask(ctx, a.Address, fmt.Sprintf("SELECT group_promise(%d, %s)", a.Term, quote(g.node)), &r)
 }
 
-// Promote orders a server to open as primary of term.
-func (g *GroupControl) Promote(ctx context.Context, address string, term uint64, node string) (Granted, error) {
-	var r Granted
-	return r, g.ask(ctx, address, fmt.Sprintf("SELECT group_promote(%d, %s)", term, quote(node)), &r)
+// Promote orders a server to open as primary.
+func (g *GroupControl) Promote(ctx context.Context, a upstream.OrderPromote) (upstream.Granted, error) {
+	var r upstream.Granted
+	return r, g.ask(ctx, a.Address, fmt.Sprintf("SELECT group_promote(%d, %s)", a.Term, quote(g.node)), &r)
 }
 
-// Follow orders a server to follow the primary of term.
-func (g *GroupControl) Follow(ctx context.Context, address string, term uint64, primary string) (Granted, error) {
-	var r Granted
-	return r, g.ask(ctx, address, fmt.Sprintf("SELECT group_follow(%d, %s)", term, quote(primary)), &r)
+// Follow orders a server to follow a primary.
+func (g *GroupControl) Follow(ctx context.Context, a upstream.OrderFollow) (upstream.Granted, error) {
+	var r upstream.Granted
+	return r, g.ask(ctx, a.Address, fmt.Sprintf("SELECT group_follow(%d, %s)", a.Term, quote(a.Primary)), &r)
 }
 
-// Hold asks a primary to show that a majority follows it and holds its log up to p.
-func (g *GroupControl) Hold(ctx context.Context, address string, p session.Position) (Held, error) {
+// Hold asks a primary to show that a majority follows it and holds its log up to a position; false means that it could not.
+func (g *GroupControl) Hold(ctx context.Context, a caller.Prove) (caller.Proven, bool, error) {
 	var r Held
-	return r, g.ask(ctx, address, fmt.Sprintf("SELECT group_hold(%d, %d)", p.Term, p.Offset), &r)
+	err := g.ask(ctx, a.Address, fmt.Sprintf("SELECT group_hold(%d, %d)", a.Position.Term, a.Position.Offset), &r)
+	return caller.Proven{Proof: a.Proof, Term: r.Term, End: r.End, Forks: r.Forks}, r.Held, err
 }
 
 // SlotsAnswer is a server's answer to a node that asked for slots.
@@ -83,11 +79,14 @@
 	Restarted bool `json:"restarted"`
 }
 
-// Slots tells a server what a node wants and holds of its slots, and returns what the node may use.
-func (g *GroupControl) Slots(ctx context.Context, node string, a caller.AskSlots) (SlotsAnswer, error) {
+// Slots tells a server what the node wants and holds of its slots, and returns what it may use.
+func (g *GroupControl) Slots(ctx context.Context, a caller.AskSlots) (caller.SlotsGranted, error) {
 	var r SlotsAnswer
-	return r, g.ask(ctx, a.Address, fmt.Sprintf("SELECT group_slots(%s, %d, %d, %d, %d, %d)", quote(node), a.Ask, a.Short, a.Long,
+	err := g.ask(ctx, a.Address, fmt.Sprintf("SELECT group_slots(%s, %d, %d, %d, %d, %d)", quote(g.node), a.Ask, a.Short, a.Long,
 		a.Holds, a.HoldsLong), &r)
+	return caller.SlotsGranted{
+		Ask: a.Ask, Server: a.Server, Slots: r.Slots, LongSlots: r.LongSlots, Contended: r.Contended, Restarted: r.Restarted,
+	}, err
 }
 
 // Refused reports whether an error means that the VM answered and nobody listens there.
--- a/internal/pgwire/upstream.go
+++ b/internal/pgwire/upstream.go
@@ -14,6 +14,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"buckthornport.example/buckthornport/internal/caller"
+	"buckthornport.example/buckthornport/internal/traffic"
 	"buckthornport.example/buckthornport/pkg/session"
 )
 
@@ -97,19 +98,23 @@
 	u.post(caller.CancelDone{Conn: u.id})
 }
 
-// Send hands over a request.
-func (u *Upstream) Send(a caller.Send, x *Exchange) {
-	u.jobs <- func(u *Upstream) bool { return u.run(a, x) }
-}
-
-// Lookup hands over the question for a key's outcome.
-func (u *Upstream) Lookup(a caller.Lookup) {
-	u.jobs <- func(u *Upstream) bool { return u.lookup(a) }
+// Door is the connection as a lane uses it; the front knows the requests that wait for an answer.
+func (u *Upstream) Door(f *Front) traffic.Upstream {
+	return traffic.Upstream{
+		Serve: u.Serve, Close: u.Close, Cancel: u.Cancel,
+		Send: func(a caller.Send) {
+			x, ok := f.exchange(a.Session, a.Seq)
+			u.jobs <- func(u *Upstream) bool { return ok && u.run(a, x) || !ok && u.skip(a) }
+		},
+		Lookup: func(a caller.Lookup) { u.jobs <- func(u *Upstream) bool { return u.lookup(a) } },
+		Bury:   func(a caller.Bury) { u.jobs <- func(u *Upstream) bool { return u.bury(a) } },
+	}
 }
 
-// Bury hands over the insertion of a tombstone.
-func (u *Upstream) Bury(a caller.Bury) {
-	u.jobs <- func(u *Upstream) bool { return u.bury(a) }
+// skip gives up a request whose caller has just gone.
+func (u *Upstream) skip(a caller.Send) bool {
+	u.post(caller.Broken{Conn: u.id, Request: a.Request, Unsent: true})
+	return false
 }
 
 // alive reports whether the server has closed the connection while it was idle.
--- a/internal/proxy/assemble.go
+++ b/internal/proxy/assemble.go
@@ -48,7 +48,7 @@
 	}
 	d := control.NewNode(n.settings.Node, n.Bundle(), w, m, o)
 	d.Wall = func(elapsed time.Duration) time.Time { return n.start.Add(elapsed).UTC() }
-	n.thread = control.NewThread(n.ctx, n.settings.Node, n.clock, d)
+	n.thread = control.NewThread(n.ctx, n.clock, d)
 	n.connectThread()
 	return nil
 }
@@ -71,6 +71,7 @@
 	t.Promise = n.orders.Promise
 	t.Promote = n.orders.Promote
 	t.Follow = n.orders.Follow
+	t.Refused = pgwire.Refused
 	t.Send = func(a peer.Send) { n.link.Send(a.Address, a.Message) }
 	t.Put = n.putRecords
 	t.Intend = n.intend
@@ -86,7 +87,7 @@
 }
 
 func (n *Node) newControl() *pgwire.GroupControl {
-	c := pgwire.NewGroupControl(func(address string) (*pgconn.Config, error) {
+	c := pgwire.NewGroupControl(n.settings.Node, func(address string) (*pgconn.Config, error) {
 		return upstreamConfig(address, pgwire.ControlUser, n.settings.UpstreamPassword, "")
 	})
 	n.mu.Lock()
@@ -122,10 +123,8 @@
 	l := traffic.NewLane(n.ctx, g.Name, n.clock, d)
 	l.Note = n.Note
 	l.Hold = n.newControl().Hold
-	slots := n.newControl()
-	l.Slots = func(ctx context.Context, a caller.AskSlots) (pgwire.SlotsAnswer, error) {
-		return slots.Slots(ctx, n.settings.Node, a)
-	}
+	l.Slots = n.newControl().Slots
+	l.Callers = n.front.Callers(g.Name)
 	l.Dial = n.dialer(g.Name)
 	n.limit(l, g)
 	n.mu.Lock()
@@ -135,15 +134,19 @@
 	return l, nil
 }
 
-type dialer func(ctx context.Context, id caller.ConnID, address string, post func(caller.Event)) (*pgwire.Upstream, error)
+type dialer func(ctx context.Context, a caller.Open, post func(caller.Event)) (traffic.Upstream, error)
 
 func (n *Node) dialer(database string) dialer {
-	return func(ctx context.Context, id caller.ConnID, address string, post func(caller.Event)) (*pgwire.Upstream, error) {
-		cfg, err := upstreamConfig(address, n.settings.UpstreamUser, n.settings.UpstreamPassword, database)
+	return func(ctx context.Context, a caller.Open, post func(caller.Event)) (traffic.Upstream, error) {
+		cfg, err := upstreamConfig(a.Address, n.settings.UpstreamUser, n.settings.UpstreamPassword, database)
+		if err != nil {
+			return traffic.Upstream{}, err
+		}
+		u, err := pgwire.DialUpstream(ctx, a.Conn, cfg, post)
 		if err != nil {
-			return nil, err
+			return traffic.Upstream{}, err
 		}
-		return pgwire.DialUpstream(ctx, id, cfg, post)
+		return u.Door(n.front), nil
 	}
 }
 
@@ -156,12 +159,12 @@
 	if n.front, err = pgwire.NewFront(n.signer, n.settings.Node+"-"+hex.EncodeToString(prefix[:]), n.tlsOption()); err != nil {
 		return err
 	}
-	n.front.Lane = func(database string) (pgwire.Lane, bool) {
+	n.front.Lane = func(database string) (func(caller.Event), bool) {
 		l, ok := n.laneFor(database)
 		if !ok {
-			return pgwire.Lane{}, false
+			return nil, false
 		}
-		return l.Wire(), true
+		return l.Post, true
 	}
 	n.front.Authorize = n.authorize
 	n.front.Classify = func(database, verb string, tables []string) (bundle.Class, uint64) {
--- a/internal/standin/group/execute.go
+++ b/internal/standin/group/execute.go
@@ -14,6 +14,7 @@
 
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/pgwire"
+	"buckthornport.example/buckthornport/internal/upstream"
 	"buckthornport.example/buckthornport/pkg/session"
 )
 
@@ -283,7 +284,7 @@
 
 func (b *backend) granted(f func() bool) *resultSet {
 	ok := f()
-	return jsonResult("granted", pgwire.Granted{Granted: ok, Status: b.srv.Status()})
+	return jsonResult("granted", upstream.Granted{Granted: ok, Status: b.srv.Status()})
 }
 
 func jsonResult(name string, v any) *resultSet {
--- a/internal/traffic/lane.go
+++ b/internal/traffic/lane.go
@@ -7,9 +7,7 @@
 
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/operator"
-	"buckthornport.example/buckthornport/internal/pgwire"
 	"buckthornport.example/buckthornport/internal/tick"
-	"buckthornport.example/buckthornport/pkg/session"
 )
 
 const (
@@ -20,12 +18,14 @@
 
 // Lane is the traffic of one database on this node.
 type Lane struct {
+	// Callers is the wire that the lane's callers speak.
+	Callers Callers
 	// Dial opens an upstream connection.
-	Dial func(ctx context.Context, id caller.ConnID, address string, post func(caller.Event)) (*pgwire.Upstream, error)
-	// Hold asks a primary what a majority holds.
-	Hold func(ctx context.Context, address string, p session.Position) (pgwire.Held, error)
+	Dial func(ctx context.Context, a caller.Open, post func(caller.Event)) (Upstream, error)
+	// Hold asks a primary what a majority holds; false stands for a proof that it cannot give.
+	Hold func(ctx context.Context, a caller.Prove) (caller.Proven, bool, error)
 	// Slots asks a server for slots.
-	Slots func(ctx context.Context, a caller.AskSlots) (pgwire.SlotsAnswer, error)
+	Slots func(ctx context.Context, a caller.AskSlots) (caller.SlotsGranted, error)
 	// Note puts a record into the audit trail.
 	Note func(r operator.Record)
 
@@ -35,14 +35,37 @@
 	ctx       context.Context
 
 	mu        sync.Mutex
-	callers   map[caller.SessionID]*pgwire.Caller
-	upstreams map[caller.ConnID]*pgwire.Upstream
+	upstreams map[caller.ConnID]Upstream
 	dialing   map[caller.ConnID]context.CancelFunc
 	snapshot  Snapshot
 	taken     time.Duration
 	stale     bool
 }
 
+// Callers is the door to a lane's callers; each function may be called from any goroutine and must not block for long.
+type Callers struct {
+	// Waiting reports whether a request still waits for its answer.
+	Waiting func(id caller.SessionID, seq uint64) bool
+	// Release, Complete and Refuse answer a request.
+	Release  func(a caller.Release)
+	Complete func(a caller.Complete)
+	Refuse   func(a caller.Refuse)
+	// End closes a session between two requests, Stop closes all sessions of the lane at once.
+	End  func(id caller.SessionID)
+	Stop func()
+}
+
+// Upstream is the door to one upstream connection. Serve runs what Send, Lookup and Bury hand over until the connection ends;
+// Cancel asks for the end of what runs.
+type Upstream struct {
+	Serve  func()
+	Send   func(a caller.Send)
+	Lookup func(a caller.Lookup)
+	Bury   func(a caller.Bury)
+	Cancel func(ctx context.Context)
+	Close  func()
+}
+
 // Snapshot is what a lane tells operators about itself; it is never changed after it was made.
 type Snapshot struct {
 	Database string           `json:"database"`
@@ -71,8 +94,7 @@
 func NewLane(ctx context.Context, database string, clock tick.Clock, d *caller.Lane) *Lane {
 	l := &Lane{
 		database: database, decisions: d, ctx: ctx,
-		callers: map[caller.SessionID]*pgwire.Caller{}, upstreams: map[caller.ConnID]*pgwire.Upstream{},
-		dialing: map[caller.ConnID]context.CancelFunc{}, taken: -snapshotEvery,
+		upstreams: map[caller.ConnID]Upstream{}, dialing: map[caller.ConnID]context.CancelFunc{}, taken: -snapshotEvery,
 	}
 	l.loop = tick.NewLoop(clock, l.step, l.perform)
 	return l
@@ -81,14 +103,12 @@
 // Run works until the context ends, and then closes all upstream connections.
 func (l *Lane) Run() error {
 	err := l.loop.Run(l.ctx)
+	l.Callers.Stop()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, u := range l.upstreams {
 		u.Close()
 	}
-	for _, c := range l.callers {
-		go c.Kill()
-	}
 	return err
 }
 
@@ -97,11 +117,6 @@
 	l.loop.Post(e)
 }
 
-// Wire is the lane as the wire sees it.
-func (l *Lane) Wire() pgwire.Lane {
-	return pgwire.Lane{Attach: l.attach, Detach: l.detach, Post: l.Post}
-}
-
 // Snapshot returns the lane's latest picture of itself.
 func (l *Lane) Snapshot() Snapshot {
 	l.mu.Lock()
@@ -109,18 +124,6 @@
 	return l.snapshot
 }
 
-func (l *Lane) attach(c *pgwire.Caller) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.callers[c.ID()] = c
-}
-
-func (l *Lane) detach(id caller.SessionID) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.callers, id)
-}
-
 func (l *Lane) step(now time.Duration, es []caller.Event) ([]caller.Action, time.Duration) {
 	as, next := l.decisions.Step(now, es)
 	l.stale = l.stale || len(es) > 0
@@ -182,40 +185,17 @@
 func (l *Lane) performAnswer(a caller.Action) {
 	switch a := a.(type) {
 	case caller.Release:
-		if x, ok := l.exchange(a.Session, a.Seq); ok {
-			go x.Release(a.Floor)
-		}
+		go l.Callers.Release(a)
 	case caller.Complete:
-		if x, ok := l.exchange(a.Session, a.Seq); ok {
-			go x.Complete(a.Tag, a.Floor)
-		}
+		go l.Callers.Complete(a)
 	case caller.Refuse:
-		if x, ok := l.exchange(a.Session, a.Seq); ok {
-			go x.Refuse(a)
-		}
+		go l.Callers.Refuse(a)
 	case caller.EndSession:
-		if c, ok := l.caller(a.Session); ok {
-			go c.End()
-		}
-	}
-}
-
-func (l *Lane) caller(id caller.SessionID) (*pgwire.Caller, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	c, ok := l.callers[id]
-	return c, ok
-}
-
-func (l *Lane) exchange(id caller.SessionID, seq uint64) (*pgwire.Exchange, bool) {
-	c, ok := l.caller(id)
-	if !ok {
-		return nil, false
+		go l.Callers.End(a.Session)
 	}
-	return c.Exchange(seq)
 }
 
-func (l *Lane) upstream(id caller.ConnID) (*pgwire.Upstream, bool) {
+func (l *Lane) upstream(id caller.ConnID) (Upstream, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	u, ok := l.upstreams[id]
@@ -231,7 +211,7 @@
 }
 
 func (l *Lane) dial(ctx context.Context, a caller.Open) {
-	u, err := l.Dial(ctx, a.Conn, a.Address, l.Post)
+	u, err := l.Dial(ctx, a, l.Post)
 	l.mu.Lock()
 	stop, wanted := l.dialing[a.Conn]
 	delete(l.dialing, a.Conn)
@@ -279,13 +259,12 @@
 // send runs a request; where its caller has just gone, the connection stays as it was.
 func (l *Lane) send(a caller.Send) {
 	u, open := l.upstream(a.Conn)
-	x, waiting := l.exchange(a.Session, a.Seq)
-	if !open || !waiting {
+	if !open || !l.Callers.Waiting(a.Session, a.Seq) {
 		l.Post(caller.Broken{Conn: a.Conn, Request: a.Request, Unsent: true})
 		l.close(a.Conn)
 		return
 	}
-	u.Send(a, x)
+	u.Send(a)
 }
 
 func (l *Lane) cancel(a caller.CancelUpstream) {
@@ -309,19 +288,16 @@
 		l.Post(caller.SlotsFailed{Ask: a.Ask, Server: a.Server})
 		return
 	}
-	l.Post(caller.SlotsGranted{
-		Ask: a.Ask, Server: a.Server, Slots: r.Slots, LongSlots: r.LongSlots, Contended: r.Contended,
-		Restarted: r.Restarted,
-	})
+	l.Post(r)
 }
 
 func (l *Lane) prove(a caller.Prove) {
 	ctx, stop := context.WithTimeout(l.ctx, caller.ProofTimeout)
 	defer stop()
-	h, err := l.Hold(ctx, a.Address, a.Position)
-	if err != nil || !h.Held {
+	e, ok, err := l.Hold(ctx, a)
+	if err != nil || !ok {
 		l.Post(caller.ProofFailed{Proof: a.Proof})
 		return
 	}
-	l.Post(caller.Proven{Proof: a.Proof, Term: h.Term, End: h.End, Forks: h.Forks})
+	l.Post(e)
 }
--- a/internal/upstream/messages.go
+++ b/internal/upstream/messages.go
@@ -39,6 +39,12 @@
 	Status Status
 }
 
+// Granted is a server's answer to an order, with its status after it.
+type Granted struct {
+	Granted bool   `json:"granted"`
+	Status  Status `json:"status"`
+}
+
 // Learned is a route that a peer or the platform's store reported.
 type Learned struct {
 	Group   string
