--- /dev/null
+++ b/internal/caller/decline.go
@@ -0,0 +1,73 @@
+package caller
+
+import (
+	"time"
+
+	"buckthornport.example/buckthornport/pkg/session"
+)
+
+// Decline says why a server did not run a request.
+type Decline uint8
+
+// The reasons for which servers decline.
+const (
+	// DeclineBusy means that the server has no capacity.
+	DeclineBusy Decline = iota
+	// DeclineBehind means that a replica lacks the position that the read needs.
+	DeclineBehind
+	// DeclineReadOnly means that the server does not lead the group.
+	DeclineReadOnly
+)
+
+// String names the reason.
+func (d Decline) String() string {
+	return [...]string{"busy", "behind", "read_only"}[d]
+}
+
+// Declined is a server's word that it did not run a request; Open says that the transaction around it is still there.
+type Declined struct {
+	Conn     ConnID
+	Request  RequestID
+	Why      Decline
+	Position session.Position
+	Open     bool
+}
+
+func (Declined) callerEvent() {}
+
+// declined sends a request elsewhere, or refuses it where its transaction stands on the server that declined.
+func (l *Lane) declined(now time.Duration, e Declined) {
+	c, ok := l.conns.Get(e.Conn)
+	if !ok || c.Request != e.Request || c.Phase != ConnBusy {
+		l.stats.StrayMessages++
+		return
+	}
+	l.stats.Declined++
+	r, known := l.requests.Get(e.Request)
+	l.giveBack(now, c, r, known, e.Open)
+	l.avoid(now, c.Server, e)
+	s, alive := l.sessions.Get(r.Session)
+	switch {
+	case !known:
+	case !alive:
+		l.requests.Delete(r.ID)
+	case s.Conn == e.Conn:
+		l.refuse(r.WithoutConn(), Refusal{Reason: ReasonRolledBack, Retry: retryHint, Detail: "server is " + e.Why.String()})
+	case r.Attempts >= MaxAttempts:
+		l.refuse(r.WithUnsent(), Refusal{Reason: ReasonOverload, Retry: retryHint, Detail: "server is " + e.Why.String()})
+	default:
+		l.requeue(r.WithDeclined(c.Server))
+	}
+}
+
+// avoid keeps requests away from a server for a moment.
+func (l *Lane) avoid(now time.Duration, server string, e Declined) {
+	row, _ := l.servers.Get(server)
+	if e.Why == DeclineBehind {
+		row = row.WithBehind(now + behindFor)
+	} else {
+		row = row.WithDeclined(now + declinedFor)
+	}
+	l.servers.Put(server, row)
+	l.servers.Wake(server, max(row.Behind, row.Declined))
+}
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -14,6 +14,8 @@
 	group     string
 	zone      string
 	policy    Policy
+	kind      GroupKind
+	samples   []upstream.Sample
 	sessions  *table.Table[SessionID, Session]
 	requests  *table.Table[RequestID, Request]
 	conns     *table.Table[ConnID, Conn]
@@ -70,6 +72,7 @@
 	Refused        uint64 `json:"refused"`
 	Unknown        uint64 `json:"unknown"`
 	Retried        uint64 `json:"retried"`
+	Declined       uint64 `json:"declined"`
 	Settled        uint64 `json:"settled"`
 	StrayMessages  uint64 `json:"stray_messages"`
 	Proofs         uint64 `json:"proofs"`
@@ -89,6 +92,14 @@
 	}
 }
 
+// WithKind has the lane treat its group as one of another kind, which is Quorum unless set.
+func WithKind(k GroupKind) Option {
+	return func(l *Lane) error {
+		l.kind = k
+		return nil
+	}
+}
+
 // WithJitter replaces the source of random delays, which by default gives half the limit.
 func WithJitter(f func(limit time.Duration) time.Duration) Option {
 	return func(l *Lane) error {
@@ -119,6 +130,7 @@
 		group:    group,
 		zone:     zone,
 		policy:   Ours(),
+		kind:     Quorum(),
 		sessions: table.New[SessionID, Session](),
 		requests: table.New[RequestID, Request](),
 		conns:    table.New[ConnID, Conn](),
@@ -233,6 +245,8 @@
 		l.replied(now, e)
 	case Broken:
 		l.broken(now, e)
+	case Declined:
+		l.declined(now, e)
 	case Proven:
 		l.proven(now, e)
 	case ProofFailed:
@@ -265,7 +279,12 @@
 	}
 	replaced := v.Term > l.view.Term && v.Primary != l.view.Primary
 	old := l.view.Primary
+	if v.Term > l.view.Term {
+		l.samples = nil
+	}
 	l.view = v
+	l.sample(v.Sample)
+	l.dropRemoved(now, v)
 	for _, s := range v.Servers {
 		row, _ := l.servers.Get(s.Name)
 		l.servers.Put(s.Name, row.WithView(s))
@@ -279,6 +298,19 @@
 	}
 }
 
+// dropRemoved forgets servers that the group no longer has.
+func (l *Lane) dropRemoved(now time.Duration, v upstream.GroupView) {
+	for _, k := range l.servers.Keys() {
+		if row, _ := l.servers.Get(k); row.View.Name == "" {
+			continue
+		}
+		if _, ok := v.Server(k); !ok {
+			l.dropConns(now, k)
+			l.servers.Delete(k)
+		}
+	}
+}
+
 // dropConns closes all connections to a server that is gone or was replaced, and settles what ran on them.
 func (l *Lane) dropConns(now time.Duration, server string) {
 	for _, k := range l.conns.Keys() {
--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -11,8 +11,6 @@
 	ProveLimit = 4 * time.Second
 	// CancelGrace is how long a cancelled request may stay unanswered before its connection is closed.
 	CancelGrace = 2 * time.Second
-	// IdleTransactionLimit is how long a transaction may stay open without a request.
-	IdleTransactionLimit = time.Minute
 	// MaxAttempts bounds how often a read is sent.
 	MaxAttempts = 4
 	// ConnectBackoff is the longest wait before a server that refused a connection is tried again.
--- a/internal/caller/policy.go
+++ b/internal/caller/policy.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"buckthornport.example/buckthornport/internal/upstream"
 )
 
 // Policy is how a lane shares out scarce servers; each field may be replaced on its own.
@@ -11,7 +13,7 @@
 	Name string
 	// Order puts a request into one of the lane's queues.
 	Order func(r Request) QueueID
-	// Route lists the servers that may run a read, best first.
+	// Route orders the servers that may run a read, best first.
 	Route func(q Query) []Server
 	// LongLimit is how many of a server's slots long requests may hold at once.
 	LongLimit func(slots int) int
@@ -25,7 +27,7 @@
 
 const replicaPatience = 40 * time.Millisecond
 
-// Query is what Route decides from; Primary is the server that leads the group, if one is known.
+// Query is what Route decides from; Servers are those that may run the request, and Primary is the server that leads the group, if one is known.
 type Query struct {
 	Now      time.Duration
 	Zone     string
@@ -34,6 +36,9 @@
 	Servers  []Server
 	Primary  string
 	Rotation int
+	// Samples are the positions of the primary, oldest first, and Led tells whether it surely led at a moment.
+	Samples []upstream.Sample
+	Led     func(at time.Duration) bool
 }
 
 // Ours orders by class, keeps slots free of long work and sends stale reads to proven replicas.
@@ -84,34 +89,9 @@
 	}
 }
 
-// eligible reports whether a server's applied log is proven young enough, and long enough for the session.
-func eligible(q Query, s Server) bool {
-	v := s.View
-	if v.Leaving || !v.Alive {
-		return false
-	}
-	if v.Name == q.Primary {
-		return true
-	}
-	if q.Request.Statement.Class.MaxAgeMS == 0 || !v.Proven {
-		return false
-	}
-	return v.Applied.Covers(q.Session.Need()) && q.Now-v.ProvenAt <= q.Request.Statement.Class.MaxAge()
-}
-
-func eligibleServers(q Query) []Server {
-	ss := make([]Server, 0, len(q.Servers))
-	for _, s := range q.Servers {
-		if eligible(q, s) {
-			ss = append(ss, s)
-		}
-	}
-	return ss
-}
-
 // routeNearest prefers replicas over the primary, servers of the own zone over others, and the least loaded of those.
 func routeNearest(q Query) []Server {
-	ss := eligibleServers(q)
+	ss := slices.Clone(q.Servers)
 	rank := func(s Server) int {
 		switch {
 		case s.View.Name == q.Primary:
@@ -129,7 +109,7 @@
 }
 
 func routeRotation(q Query) []Server {
-	ss := eligibleServers(q)
+	ss := slices.Clone(q.Servers)
 	if len(ss) == 0 {
 		return nil
 	}
--- a/internal/caller/pool.go
+++ b/internal/caller/pool.go
@@ -120,7 +120,7 @@
 // startCancel cancels a running request upstream; its connection serves nothing else until the cancel is over.
 func (l *Lane) startCancel(now time.Duration, r Request) {
 	c, ok := l.conns.Get(r.Conn)
-	if !ok || r.Cancelled {
+	if !ok || r.Cancelled || !l.kind.Cancels {
 		return
 	}
 	l.requests.Put(r.ID, r.WithCancelled())
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -171,23 +171,57 @@
 
 // candidates lists the servers that may run a request, best first.
 func (l *Lane) candidates(now time.Duration, s Session, r Request) []Server {
-	if r.Statement.Kind == KindRead && r.Phase != PhaseSettling && r.Statement.Class.MaxAgeMS > 0 {
+	if mayBeOld(r) {
 		l.rotation++
-		return l.policy.Route(Query{
-			Now: now, Zone: l.zone, Session: s, Request: r, Servers: l.viewed(), Primary: l.leader(),
-			Rotation: l.rotation,
-		})
+		q := l.query(now, s, r)
+		q.Servers = l.eligible(q)
+		return l.policy.Route(q)
 	}
-	if p := l.leader(); p != "" {
+	if p := l.leader(); p != "" && l.led(r) {
 		row, _ := l.servers.Get(p)
 		return []Server{row}
 	}
 	return nil
 }
 
+// mayBeOld reports whether a request is a read that accepts data of a stated age.
+func mayBeOld(r Request) bool {
+	reads := r.Statement.Kind == KindRead || r.Statement.Kind == KindBegin && r.Statement.ReadOnly
+	return reads && r.Phase != PhaseSettling && r.Statement.Class.MaxAgeMS > 0
+}
+
+func (l *Lane) query(now time.Duration, s Session, r Request) Query {
+	return Query{
+		Now: now, Zone: l.zone, Session: s, Request: r, Primary: l.leader(), Rotation: l.rotation, Samples: l.samples,
+		Led: l.view.Led,
+	}
+}
+
+// eligible lists the servers that may run a read; the one that failed its last attempt only where there is no other.
+func (l *Lane) eligible(q Query) []Server {
+	ss := make([]Server, 0, len(l.view.Servers))
+	for _, s := range l.viewed() {
+		switch {
+		case s.View.Leaving || !s.View.Alive || q.Now < s.Declined:
+		case s.View.Name == q.Primary:
+			if l.led(q.Request) {
+				ss = append(ss, s)
+			}
+		default:
+			if _, ok := l.kind.Serves(q, s); ok {
+				ss = append(ss, s)
+			}
+		}
+	}
+	if i := slices.IndexFunc(ss, func(s Server) bool { return s.View.Name == q.Request.Avoid }); i >= 0 && len(ss) > 1 {
+		ss = slices.Delete(ss, i, i+1)
+	}
+	return ss
+}
+
 // leader returns the primary that new work may be sent to, or "".
 func (l *Lane) leader() string {
-	if l.view.Suspect {
+	if l.view.Suspect || l.view.Fenced {
 		return ""
 	}
 	return l.view.Primary
@@ -221,23 +255,31 @@
 	l.ensure(r.Joined == 0 || r.Joined == id, "transaction_on_one_connection", func() string {
 		return fmt.Sprintf("request %d belongs to %d, sent on %d", r.ID, r.Joined, id)
 	})
+	need := l.needOf(now, s, r, row)
 	l.ensure(!r.Sent || r.Statement.Kind == KindRead || r.Statement.Kind == KindBegin, "write_sent_once",
 		func() string { return fmt.Sprintf("request %d attempt %d", r.ID, r.Attempts+1) })
 	l.checkFloor(s, r, row)
 	r = r.WithRun(now, id, row.View.Name)
 	l.requests.Put(r.ID, r)
 	l.out = append(l.out, Send{
-		Conn: id, Request: r.ID, Session: s.ID, Seq: r.Seq, Hold: needsProof(s, r), Wrap: wrap(s, r),
-		Key: r.Statement.Key, Stale: s.Stale, Need: needOf(s, r),
+		Conn: id, Request: r.ID, Session: s.ID, Seq: r.Seq, Hold: l.kind.Holds(s, r), Wrap: wrap(s, r),
+		Key: r.Statement.Key, Stale: s.Stale, Need: need,
 	})
 }
 
 // needOf is the position that a read outside of a transaction must show.
-func needOf(s Session, r Request) session.Position {
-	if r.Statement.Kind != KindRead || s.Conn != 0 || s.Stale {
+func (l *Lane) needOf(now time.Duration, s Session, r Request, row Server) session.Position {
+	switch {
+	case s.Conn != 0 || s.Stale:
+		return session.Position{}
+	case mayBeOld(r) && row.View.Name != l.view.Primary:
+		need, _ := l.kind.Serves(l.query(now, s, r), row)
+		return need
+	case r.Statement.Kind == KindRead && l.kind.Settles:
+		return s.Floor
+	default:
 		return session.Position{}
 	}
-	return s.Floor
 }
 
 // checkFloor asserts that a replica is only read by sessions whose own work it has applied.
@@ -245,10 +287,10 @@
 	if row.View.Name == l.view.Primary || s.Conn != 0 {
 		return
 	}
-	l.ensure(s.Stale || s.FloorKnown && row.View.Applied.Covers(s.Need()), "read_your_writes", func() string {
+	l.ensure(!l.kind.Settles || s.Stale || s.FloorKnown && row.View.Applied.Covers(s.Need()), "read_your_writes", func() string {
 		return fmt.Sprintf("session %d needs %v, %s has %v", s.ID, s.Need(), row.View.Name, row.View.Applied)
 	})
-	l.ensure(r.Statement.Kind == KindRead, "writes_on_primary", func() string { return row.View.Name })
+	l.ensure(mayBeOld(r), "writes_on_primary", func() string { return row.View.Name })
 }
 
 // needsProof reports whether the answer commits something.
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"buckthornport.example/buckthornport/internal/upstream"
 )
 
 // replied takes a server's whole answer, gives the slot back and decides whether the caller may have the answer yet.
@@ -14,9 +16,16 @@
 	}
 	r, known := l.requests.Get(e.Request)
 	l.giveBack(now, c, r, known, e.Open)
-	if row, _ := l.servers.Get(c.Server); c.Server != l.view.Primary {
-		l.servers.Put(c.Server, row.WithShown(e.Position))
+	row, _ := l.servers.Get(c.Server)
+	if known {
+		row = row.WithTook(now - r.Started)
+	}
+	if c.Server != l.view.Primary {
+		row = row.WithShown(e.Position)
+	} else if known {
+		l.sample(upstream.Sample{At: r.Started, Position: e.Position})
 	}
+	l.servers.Put(c.Server, row)
 	if !known {
 		return
 	}
@@ -26,7 +35,7 @@
 		l.requests.Delete(r.ID)
 		return
 	}
-	held := needsProof(s, r)
+	held := l.kind.Holds(s, r)
 	s = follow(s, c, r, e)
 	l.sessions.Put(s.ID, s)
 	switch {
@@ -80,14 +89,18 @@
 	if held {
 		l.out = append(l.out, Release{Session: s.ID, Seq: r.Seq, Floor: s.Floor})
 	}
+	wrote := r.Statement.Kind == KindWrite && r.Joined == 0 || r.Statement.Kind == KindCommit && committed(r, e)
 	l.finish(r, func(s Session) Session {
+		if wrote && !e.Failed && !l.kind.Settles {
+			return s.WithFloor(e.Position)
+		}
 		if r.Statement.Kind == KindRead && !e.Position.IsZero() && !s.Stale {
 			return s.WithSeen(e.Position)
 		}
 		return s
 	})
 	if s.Conn != 0 {
-		l.sessions.Wake(s.ID, now+IdleTransactionLimit)
+		l.sessions.Wake(s.ID, now+r.Statement.Class.IdleTransaction())
 	}
 }
 
@@ -159,7 +172,7 @@
 	case e.Unsent:
 		l.requeue(r.WithUnsent())
 	case r.Statement.Kind == KindBegin:
-		l.requeue(r.WithUnsent())
+		l.requeue(r.WithDeclined(r.Server))
 	case r.Statement.Kind == KindRead:
 		l.retryRead(r.WithoutConn(), e)
 	case r.Statement.Kind == KindWrite:
@@ -177,6 +190,7 @@
 	}
 	l.retries--
 	l.stats.Retried++
+	r.Avoid = r.Server
 	l.requeue(r)
 }
 
--- a/internal/caller/rows.go
+++ b/internal/caller/rows.go
@@ -36,6 +36,8 @@
 	Class   bundle.Class
 	Key     string
 	Version uint64
+	// ReadOnly says that the transaction which a statement begins only reads.
+	ReadOnly bool
 	// Writes says that a batch which begins or commits a transaction writes in it as well.
 	Writes bool
 }
@@ -186,6 +188,8 @@
 	Cancelled bool
 	Result    Result
 	Outcome   string
+	// Avoid is the server that failed the request's last attempt.
+	Avoid string
 	// Joined is the connection of the transaction that the request belongs to.
 	Joined ConnID
 }
@@ -221,6 +225,14 @@
 	return r
 }
 
+// WithDeclined returns the row after an attempt that the server did not run.
+func (r Request) WithDeclined(server string) Request {
+	r.Avoid = server
+	r.Sent = false
+	r.Conn = 0
+	return r
+}
+
 // WithProving returns the row waiting for evidence about the position at which it committed.
 func (r Request) WithProving(now time.Duration, p session.Position, res Result) Request {
 	r.Phase = PhaseProving
@@ -322,6 +334,11 @@
 	Opening   int
 	Idle      []ConnID
 	Retry     time.Duration
+	// Behind is until when the server is thought to lack what reads of a stated age need, Declined until when it is spared.
+	Behind   time.Duration
+	Declined time.Duration
+	// Took is the mean time of its answers, weighted towards the latest.
+	Took time.Duration
 	// Shown is the latest position that an answer of the server has shown.
 	Shown session.Position
 }
@@ -347,6 +364,27 @@
 	return s
 }
 
+// WithBehind returns the row of a server that lacked what a read needed.
+func (s Server) WithBehind(until time.Duration) Server {
+	s.Behind = until
+	return s
+}
+
+// WithDeclined returns the row of a server that declined a request.
+func (s Server) WithDeclined(until time.Duration) Server {
+	s.Declined = until
+	return s
+}
+
+// WithTook returns the row after an answer that took so long.
+func (s Server) WithTook(d time.Duration) Server {
+	if s.Took == 0 {
+		s.Took = d
+	}
+	s.Took += time.Duration(flowWeight * float64(d-s.Took))
+	return s
+}
+
 // WithLimits returns the row with other shares of the server's slots and connections.
 func (s Server) WithLimits(slots, long, conns int) Server {
 	s.Slots = slots
--- a/internal/caller/settle.go
+++ b/internal/caller/settle.go
@@ -102,7 +102,7 @@
 
 // expireRunning cancels a request first, and closes its connection if that does not end it.
 func (l *Lane) expireRunning(now time.Duration, r Request) {
-	if !r.Cancelled {
+	if !r.Cancelled && l.kind.Cancels {
 		l.startCancel(now, r)
 		return
 	}
--- a/internal/control/guards_test.go
+++ b/internal/control/guards_test.go
@@ -9,6 +9,7 @@
 
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/upstream"
+	"buckthornport.example/buckthornport/pkg/session"
 )
 
 const guardSeeds = 100
@@ -37,20 +38,14 @@
 }
 
 // ignoreFloor is the product's routing without the check that a replica has applied the session's own work.
-func ignoreFloor(q caller.Query) []caller.Server {
-	var out []caller.Server
-	for _, s := range q.Servers {
-		if s.View.Name != q.Primary && s.View.Alive {
-			out = append(out, s)
-		}
-	}
-	return append(out, caller.Ours().Route(q)...)
+func ignoreFloor(_ caller.Query, s caller.Server) (session.Position, bool) {
+	return session.Position{}, s.View.Alive
 }
 
 // TestGuardsMatter switches one guard off at a time: the runs that pass with all guards on must then see a promise broken.
 func TestGuardsMatter(t *testing.T) {
-	blind := caller.Ours()
-	blind.Route = ignoreFloor
+	blind := caller.Quorum()
+	blind.Serves = ignoreFloor
 	for _, k := range []struct {
 		name    string
 		o       worldOptions
@@ -62,7 +57,7 @@
 		}, "is there 0 times"},
 		{"tombstone before not run", worldOptions{noTombstone: true}, "called not run and is there"},
 		{"idempotency key", worldOptions{noKeys: true}, "times"},
-		{"floor of a session", worldOptions{lane: []caller.Option{caller.WithPolicy(blind)}}, "session_sees_own_work"},
+		{"floor of a session", worldOptions{lane: []caller.Option{caller.WithKind(blind)}}, "session_sees_own_work"},
 	} {
 		t.Run(k.name, func(t *testing.T) {
 			c := qt.New(t)
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -36,10 +36,13 @@
 type Node struct {
 	// Wall turns the time since the node's start into a date, for the audit trail alone.
 	Wall func(elapsed time.Duration) time.Time
+	// Accept returns the bundle that follows the current one, or why the offered one does not come into force.
+	Accept func(current bundle.Bundle, encoded []byte) (bundle.Bundle, error)
 
 	watch   *upstream.Watch
 	members *peer.Membership
 	outbox  *platform.Outbox
+	listed  *platform.Directory
 	bundle  bundle.Bundle
 	refused uint64
 	number  uint64
@@ -50,16 +53,52 @@
 // NewNode returns the control decisions of the named node, working under b until a newer bundle is accepted.
 func NewNode(name string, b bundle.Bundle, w *upstream.Watch, m *peer.Membership, o *platform.Outbox) *Node {
 	return &Node{
-		name: name, bundle: b, watch: w, members: m, outbox: o,
-		Wall: func(time.Duration) time.Time { return time.Time{} },
+		name: name, bundle: b, watch: w, members: m, outbox: o, listed: platform.NewDirectory(),
+		Wall:   func(time.Duration) time.Time { return time.Time{} },
+		Accept: acceptSigned,
 	}
 }
 
+// acceptSigned takes a bundle that enough of the current one's keys have signed.
+func acceptSigned(current bundle.Bundle, encoded []byte) (bundle.Bundle, error) {
+	s, err := bundle.DecodeSigned(encoded)
+	if err != nil {
+		return bundle.Bundle{}, err
+	}
+	return bundle.Accept(current, s)
+}
+
 // Step takes what was learned since the last step and returns what to do, and when to be called again at the latest.
 func (n *Node) Step(now time.Duration, es []Event) ([]Action, time.Duration) {
 	n.out = nil
-	wake := n.round(now, es, true)
-	return n.out, wake
+	es, wakeList := n.runDirectory(now, es)
+	return n.out, min(n.round(now, es, true), wakeList)
+}
+
+// runDirectory turns news about the platform's list of servers into what the watch has to know.
+func (n *Node) runDirectory(now time.Duration, es []Event) ([]Event, time.Duration) {
+	var news []platform.DirectoryEvent
+	var rest []Event
+	for _, e := range es {
+		if d, ok := e.(platform.DirectoryEvent); ok {
+			news = append(news, d)
+		} else {
+			rest = append(rest, e)
+		}
+	}
+	changes, wake := n.listed.Step(now, news)
+	for _, c := range changes {
+		e := c.Entry
+		if c.Gone {
+			rest = append(rest, upstream.Removed{Server: e.ID})
+		} else {
+			rest = append(rest, upstream.Configured{
+				Server: e.ID, Group: e.Service, Zone: e.Zone, Address: e.Address, Leaving: e.Leaving, Born: e.Born,
+			})
+		}
+		n.out = append(n.out, c)
+	}
+	return rest, wake
 }
 
 // inbox sorts events by the package that they are for.
@@ -163,11 +202,7 @@
 // runBundles accepts or refuses the bundles that were offered; a version is refused in the audit trail only once.
 func (n *Node) runBundles(now time.Duration, in inbox, next *inbox) {
 	for _, o := range in.bundles {
-		s, err := bundle.DecodeSigned(o.Encoded)
-		var b bundle.Bundle
-		if err == nil {
-			b, err = bundle.Accept(n.bundle, s)
-		}
+		b, err := n.Accept(n.bundle, o.Encoded)
 		if err != nil {
 			n.refuse(now, next, o, err)
 			continue
--- a/internal/control/thread.go
+++ b/internal/control/thread.go
@@ -12,7 +12,11 @@
 	"buckthornport.example/buckthornport/pkg/bundle"
 )
 
-const putTimeout = 5 * time.Second
+const (
+	putTimeout = 5 * time.Second
+	// leaseTimeout bounds one call about a lease; a call given up that late may still take effect.
+	leaseTimeout = 1200 * time.Millisecond
+)
 
 // Thread is the control thread of a node: one loop, whose slow calls run beside it and come back as events.
 type Thread struct {
@@ -21,6 +25,14 @@
 	Promise func(ctx context.Context, a upstream.AskPromise) (upstream.Granted, error)
 	Promote func(ctx context.Context, a upstream.OrderPromote) (upstream.Granted, error)
 	Follow  func(ctx context.Context, a upstream.OrderFollow) (upstream.Granted, error)
+	// Resume ends a promise that a server made; ReadLease, TakeLease and FreeLease speak to the platform's store. They are
+	// needed only by kinds of groups that have leases.
+	Resume    func(ctx context.Context, a upstream.OrderResume) error
+	ReadLease func(ctx context.Context, a upstream.ReadLease) (upstream.Lease, error)
+	TakeLease func(ctx context.Context, a upstream.TakeLease) (l upstream.Lease, taken bool, err error)
+	FreeLease func(ctx context.Context, a upstream.FreeLease) error
+	// Failed takes note of a call that failed, which the decisions only see as silence.
+	Failed func(call, subject string, err error)
 	// Refused reports whether an error means that the VM answered and nobody listens there.
 	Refused func(err error) bool
 	// Send sends a message to a peer.
@@ -33,6 +45,8 @@
 	Publish func(v upstream.GroupView)
 	Adopt   func(b bundle.Bundle, encoded []byte)
 	Members func(names []string)
+	// Listed tells of a server that the platform lists, or no longer does.
+	Listed func(c platform.ServerChange)
 	// Note takes a record of the audit trail for the node's own log.
 	Note func(r operator.Record)
 
@@ -42,7 +56,7 @@
 
 // NewThread returns the control thread of a node.
 func NewThread(ctx context.Context, clock tick.Clock, n *Node) *Thread {
-	t := &Thread{ctx: ctx}
+	t := &Thread{ctx: ctx, Listed: func(platform.ServerChange) {}, Failed: func(string, string, error) {}}
 	t.loop = tick.NewLoop(clock, n.Step, t.perform)
 	return t
 }
@@ -73,6 +87,21 @@
 		go t.Intend(a)
 	case upstream.Announce:
 		go t.Announce(a)
+	default:
+		t.performLease(a)
+	}
+}
+
+func (t *Thread) performLease(a Action) {
+	switch a := a.(type) {
+	case upstream.ReadLease:
+		go t.readLease(a)
+	case upstream.TakeLease:
+		go t.takeLease(a)
+	case upstream.FreeLease:
+		go t.freeLease(a)
+	case upstream.OrderResume:
+		go t.orderResume(a)
 	default:
 		t.performOther(a)
 	}
@@ -88,6 +117,8 @@
 		go t.put(a)
 	case BundleAdopted:
 		t.Adopt(a.Bundle, a.Encoded)
+	case platform.ServerChange:
+		t.Listed(a)
 	case Note:
 		t.Note(a.Record)
 	}
@@ -108,7 +139,7 @@
 }
 
 func (t *Thread) probe(a upstream.Probe) {
-	ctx, stop := t.within(upstream.ProbeTimeout)
+	ctx, stop := t.within(a.Timeout)
 	defer stop()
 	st, err := t.Status(ctx, a)
 	if err != nil {
@@ -121,23 +152,74 @@
 }
 
 func (t *Thread) askPromise(a upstream.AskPromise) {
-	ctx, stop := t.within(upstream.PromiseTimeout)
+	ctx, stop := t.within(a.Timeout)
 	defer stop()
-	if g, err := t.Promise(ctx, a); err == nil {
-		t.Post(upstream.Promised{Server: a.Server, Term: a.Term, Granted: g.Granted, Status: g.Status})
+	g, err := t.Promise(ctx, a)
+	if err != nil {
+		t.Failed("promise", a.Server, err)
+		return
 	}
+	t.Post(upstream.Promised{Server: a.Server, Term: a.Term, Granted: g.Granted, Status: g.Status})
 }
 
 func (t *Thread) orderPromote(a upstream.OrderPromote) {
-	ctx, stop := t.within(upstream.OpenTimeout)
+	ctx, stop := t.within(a.Timeout)
 	defer stop()
-	if g, err := t.Promote(ctx, a); err == nil {
-		t.Post(upstream.Promoted{Server: a.Server, Term: a.Term, Done: g.Granted, Status: g.Status})
+	g, err := t.Promote(ctx, a)
+	if err != nil {
+		t.Failed("promote", a.Server, err)
+		return
 	}
+	t.Post(upstream.Promoted{Server: a.Server, Term: a.Term, Done: g.Granted, Status: g.Status, Accepted: g.Accepted})
 }
 
 func (t *Thread) orderFollow(a upstream.OrderFollow) {
-	ctx, stop := t.within(upstream.OpenTimeout)
+	ctx, stop := t.within(a.Timeout)
+	defer stop()
+	if _, err := t.Follow(ctx, a); err != nil {
+		t.Failed("follow", a.Server, err)
+	}
+}
+
+func (t *Thread) orderResume(a upstream.OrderResume) {
+	ctx, stop := t.within(leaseTimeout)
+	defer stop()
+	if err := t.Resume(ctx, a); err != nil {
+		t.Failed("resume", a.Server, err)
+	}
+}
+
+func (t *Thread) readLease(a upstream.ReadLease) {
+	ctx, stop := t.within(leaseTimeout)
 	defer stop()
-	_, _ = t.Follow(ctx, a)
+	l, err := t.ReadLease(ctx, a)
+	if err != nil {
+		t.Failed("read lease", a.Group, err)
+		t.Post(upstream.LeaseFailed{Group: a.Group})
+		return
+	}
+	t.Post(upstream.LeaseRead{Group: a.Group, Lease: l})
+}
+
+func (t *Thread) takeLease(a upstream.TakeLease) {
+	ctx, stop := t.within(leaseTimeout)
+	defer stop()
+	l, taken, err := t.TakeLease(ctx, a)
+	switch {
+	case err != nil:
+		t.Failed("take lease", a.Group, err)
+		t.Post(upstream.LeaseFailed{Group: a.Group})
+	case taken:
+		t.Post(upstream.LeaseTaken{Group: a.Group, Lease: l, Sent: a.Sent})
+	default:
+		t.Post(upstream.LeaseRead{Group: a.Group, Lease: l})
+	}
+}
+
+func (t *Thread) freeLease(a upstream.FreeLease) {
+	ctx, stop := t.within(leaseTimeout)
+	defer stop()
+	if err := t.FreeLease(ctx, a); err != nil {
+		t.Failed("free lease", a.Group, err)
+	}
 }
--- /dev/null
+++ b/internal/upstream/appointed.go
@@ -0,0 +1,130 @@
+package upstream
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// The causes for which a primary of an appointed group is replaced, besides those of every kind.
+const (
+	CauseLeaving = "leaving"
+)
+
+// Appointed is the kind of group whose primary the platform appoints by order of the lease's holder. A primary there
+// acknowledges a commit only when a replica has received it, so a promotion that has paused every replica has fenced it, and
+// the longest of their logs holds all that was acknowledged.
+func Appointed() Kind {
+	return Kind{
+		Name: "appointed",
+		Times: Times{
+			ProbeEvery:   100 * time.Millisecond,
+			ProbeFar:     500 * time.Millisecond,
+			ProbeSoon:    100 * time.Millisecond,
+			ProbeTimeout: time.Second,
+			DoubtAfter:   time.Second,
+			FreshFor:     1500 * time.Millisecond,
+			AliveFor:     2500 * time.Millisecond,
+			// Silence is above the time that a status question may wait behind other work at a busy server.
+			Silence: 1200 * time.Millisecond,
+			// EvidenceTTL is the probe interval of the closest replica, a slow answer and one lost answer.
+			EvidenceTTL: 250 * time.Millisecond,
+			// OpensAfter is less than the some hundred milliseconds that the platform takes to appoint a primary.
+			OpensAfter:     200 * time.Millisecond,
+			PromiseTimeout: time.Second,
+			OpenTimeout:    3 * time.Second,
+			RankDelay:      300 * time.Millisecond,
+			PromiseGrace:   2500 * time.Millisecond,
+			FollowEvery:    500 * time.Millisecond,
+		},
+		Leases:  true,
+		Judge:   judgeAppointed,
+		Voters:  replicasOf,
+		Fenced:  allFenced,
+		Prefer:  preferStaying,
+		Leads:   unpaused,
+		Outside: deposed,
+	}
+}
+
+// judgeAppointed counts a primary as failed when its VM refuses connections, when it leaves, when nothing was heard from it
+// while no replica received anything either, or when no replica follows it any more.
+func judgeAppointed(e Evidence) string {
+	p, known := e.primary()
+	g := e.Group
+	switch {
+	case g.Unmended != 0 && e.Now-g.Unmended >= e.Times.PromiseGrace:
+		return CauseUnfinished
+	case !e.hasSuccessor():
+		return ""
+	case known && p.Leaves():
+		return CauseLeaving
+	case known && p.Refusals >= RefusalsNeeded:
+		return CauseClosed
+	case g.Headless != 0 && e.Now-g.Headless >= e.Times.Silence && !e.replicasAdvance():
+		if known {
+			return CauseSilent
+		}
+		return CauseNone
+	case g.Stuck != 0 && e.Now-g.Stuck >= e.Times.Silence:
+		return CauseQuorumLost
+	}
+	return ""
+}
+
+// hasSuccessor reports whether some replica answers and stays.
+func (e Evidence) hasSuccessor() bool {
+	return slices.ContainsFunc(replicasOf(e), func(s Server) bool {
+		return s.Fresh(e.Now, e.Times.FreshFor) && !s.Leaves()
+	})
+}
+
+// replicasAdvance reports whether a replica has lately received something, which only a living primary sends.
+func (e Evidence) replicasAdvance() bool {
+	return slices.ContainsFunc(replicasOf(e), func(s Server) bool {
+		return s.Advanced != 0 && e.Now-s.Advanced < e.Times.Silence
+	})
+}
+
+// replicasOf lists every server but the primary; a server of which nothing is known may be a replica with the only copy.
+func replicasOf(e Evidence) []Server {
+	return slices.DeleteFunc(slices.Clone(e.Servers), func(s Server) bool {
+		return s.Name == e.Group.Primary && (!s.Known || s.Status.Role == RolePrimary)
+	})
+}
+
+// allFenced needs the promise of every replica.
+func allFenced(e Evidence, ps []Promise, _ bool) []Promise {
+	voters := replicasOf(e)
+	for _, s := range voters {
+		if !slices.ContainsFunc(ps, func(p Promise) bool { return p.Server == s.Name }) {
+			return nil
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(ps), func(p Promise) bool {
+		return !slices.ContainsFunc(voters, func(s Server) bool { return s.Name == p.Server })
+	})
+}
+
+// preferStaying avoids a server that is about to leave.
+func preferStaying(e Evidence, a, b Promise) int {
+	return cmp.Or(-cmp.Compare(e.leaves(a.Server), e.leaves(b.Server)), cmp.Compare(b.Server, a.Server))
+}
+
+func (e Evidence) leaves(server string) int {
+	i := slices.IndexFunc(e.Servers, func(s Server) bool { return s.Name == server })
+	if i >= 0 && e.Servers[i].Leaves() {
+		return 1
+	}
+	return 0
+}
+
+// unpaused reports whether a replica was not paused when it was asked: a promotion pauses all replicas before it orders.
+func unpaused(g Group, s Server) bool {
+	return s.Status.Role == RoleReplica && s.Status.Promised == 0 && s.Status.Term == g.Term
+}
+
+// deposed reports whether a server still leads an older term.
+func deposed(g Group, s Server) bool {
+	return s.Status.Role == RolePrimary && s.Status.Term < g.Term
+}
--- /dev/null
+++ b/internal/upstream/lease.go
@@ -0,0 +1,188 @@
+package upstream
+
+import (
+	"fmt"
+	"time"
+
+	"buckthornport.example/buckthornport/internal/operator"
+)
+
+const (
+	// LeaseTerm is how long a lease may be used from the moment at which it was asked for.
+	LeaseTerm = 4 * time.Second
+	// LeaseSettle is how much longer others leave a lease alone: an order given at its end takes effect within this time.
+	LeaseSettle = 1500 * time.Millisecond
+	// LeaseMargin is the part of a lease's term that is not used, for the way to the platform.
+	LeaseMargin = 500 * time.Millisecond
+	// leaseTimeout bounds the wait for one answer of the store about a lease.
+	leaseTimeout = 1500 * time.Millisecond
+)
+
+// Lease is a node's right to order changes of primary in one group, under a fencing token that only grows. Version is that of the row
+// in the store, zero for none, and an empty holder stands for a lease that was given back.
+type Lease struct {
+	Token   uint64 `json:"token"`
+	Holder  string `json:"holder"`
+	Version uint64 `json:"-"`
+	// Until is the end of the holder's right on its own clock, zero for a lease that is not held here.
+	Until time.Duration `json:"-"`
+}
+
+// Valid reports whether the lease may be used now.
+func (c Lease) Valid(now time.Duration) bool {
+	return c.Until != 0 && now < c.Until
+}
+
+// WithHolder returns the lease that the named node takes next.
+func (c Lease) WithHolder(node string) Lease {
+	c.Token++
+	c.Holder = node
+	return c
+}
+
+// WithUntil returns the lease as held here until a moment.
+func (c Lease) WithUntil(at time.Duration) Lease {
+	c.Until = at
+	return c
+}
+
+// seen is the row of a lease in the store as this node last read it.
+type seen struct {
+	lease Lease
+	since time.Duration
+}
+
+// ReadLease asks the store who holds a group's lease.
+type ReadLease struct {
+	Group string
+}
+
+// TakeLease replaces a group's lease if its row still has the version that the lease names.
+type TakeLease struct {
+	Group string
+	Lease Lease
+	Sent  time.Duration
+}
+
+// FreeLease gives a lease back; nothing waits for the answer.
+type FreeLease struct {
+	Group string
+	Lease Lease
+}
+
+// OrderResume has a server that made a promise follow its primary again.
+type OrderResume struct {
+	Server  string
+	Address string
+}
+
+func (ReadLease) upstreamAction()   {}
+func (TakeLease) upstreamAction()   {}
+func (FreeLease) upstreamAction()   {}
+func (OrderResume) upstreamAction() {}
+
+// LeaseRead is the store's answer to ReadLease, and to a TakeLease that came too late.
+type LeaseRead struct {
+	Group string
+	Lease Lease
+}
+
+// LeaseTaken is the store's word that the lease asked for at Sent is this node's.
+type LeaseTaken struct {
+	Group string
+	Lease Lease
+	Sent  time.Duration
+}
+
+// LeaseFailed is a question about a lease that the store did not answer; it may have taken effect.
+type LeaseFailed struct {
+	Group string
+}
+
+func (LeaseRead) upstreamEvent()   {}
+func (LeaseTaken) upstreamEvent()  {}
+func (LeaseFailed) upstreamEvent() {}
+
+func (w *Watch) seekLease(now time.Duration, p Promotion) {
+	w.schedule(p.WithStage(StageLeasing, now+leaseTimeout))
+	w.out = append(w.out, ReadLease{Group: p.Group})
+}
+
+// leaseRead takes a lease that is free, this node's own or past its term, and else waits until it is. The term of another
+// node's lease counts from when this node first saw it, so that no two clocks are compared.
+func (w *Watch) leaseRead(now time.Duration, e LeaseRead) {
+	s, known := w.leases.Get(e.Group)
+	if !known || s.lease.Version != e.Lease.Version {
+		s = seen{lease: e.Lease, since: now}
+		w.leases.Put(e.Group, s)
+		w.leases.TakeDirty()
+	}
+	p, ok := w.promotions.Get(e.Group)
+	if !ok || p.Stage != StageLeasing {
+		return
+	}
+	free := s.since + LeaseTerm + LeaseSettle
+	if e.Lease.Holder != "" && e.Lease.Holder != w.node && now < free {
+		w.note(operator.Record{Kind: operator.KindDuty, Group: e.Group, Cause: "lease_held"}.
+			WithEvidence("holder", e.Lease.Holder).WithEvidence("free_in", (free - now).String()))
+		w.schedule(p.WithStage(StageBackoff, min(free, now+leaseTimeout)))
+		return
+	}
+	w.schedule(p.WithStage(StageLeasing, now+leaseTimeout))
+	w.out = append(w.out, TakeLease{Group: e.Group, Lease: e.Lease.WithHolder(w.node), Sent: now})
+}
+
+// leaseTaken goes on with a promotion, unless its reason has passed or most of the term was spent on the way.
+func (w *Watch) leaseTaken(now time.Duration, e LeaseTaken) {
+	c := e.Lease.WithUntil(e.Sent + LeaseTerm - LeaseMargin)
+	p, ok := w.promotions.Get(e.Group)
+	if !ok || p.Stage != StageLeasing || !c.Valid(now) {
+		w.release(Promotion{Group: e.Group, Lease: c})
+		return
+	}
+	w.note(operator.Record{Kind: operator.KindDuty, Group: e.Group, Cause: "lease_taken"}.
+		WithEvidence("token", fmt.Sprint(c.Token)).WithEvidence("took", (now - e.Sent).String()))
+	p.Lease = c
+	g, _ := w.groups.Get(e.Group)
+	if w.resume(now, g, p) {
+		return
+	}
+	w.schedule(p.WithStage(StageBackoff, now))
+	w.begin(now, p)
+}
+
+// resume ends an unfinished promise of another node where the primary is well: under the lease no other order is pending.
+func (w *Watch) resume(now time.Duration, g Group, p Promotion) bool {
+	primary, ok := w.servers.Get(g.Primary)
+	if g.Cause != CauseUnfinished || !ok || !primary.Fresh(now, w.kind.Times.FreshFor) ||
+		primary.Status.Role != RolePrimary || primary.Leaves() {
+		return false
+	}
+	w.promotions.Delete(g.Name)
+	w.resumeAll(now, g)
+	w.release(p)
+	w.groups.Put(g.Name, g.WithoutSuspicion())
+	return true
+}
+
+func (w *Watch) resumeAll(now time.Duration, g Group) {
+	for _, s := range w.rows(g) {
+		if s.Status.Role == RoleReplica && s.Status.Promised != 0 {
+			w.out = append(w.out, OrderResume{Server: s.Name, Address: s.Address})
+			w.servers.Wake(s.Name, now+w.kind.Times.ProbeSoon)
+		}
+	}
+}
+
+func (w *Watch) leaseFailed(now time.Duration, e LeaseFailed) {
+	if p, ok := w.promotions.Get(e.Group); ok && p.Stage == StageLeasing {
+		w.retry(now, p)
+	}
+}
+
+// release gives a promotion's lease back, if it holds one.
+func (w *Watch) release(p Promotion) {
+	if p.Lease.Until != 0 {
+		w.out = append(w.out, FreeLease{Group: p.Group, Lease: p.Lease})
+	}
+}
--- a/internal/upstream/messages.go
+++ b/internal/upstream/messages.go
@@ -37,12 +37,16 @@
 	Term   uint64
 	Done   bool
 	Status Status
+	// Accepted says that the order was taken and the server will open by and by.
+	Accepted bool
 }
 
 // Granted is a server's answer to an order, with its status after it.
 type Granted struct {
 	Granted bool   `json:"granted"`
 	Status  Status `json:"status"`
+	// Accepted says that an order to open was taken and will be carried out by and by.
+	Accepted bool `json:"accepted,omitempty"`
 }
 
 // Learned is a route that a peer or the platform's store reported.
@@ -65,6 +69,13 @@
 	Zone    string
 	Address string
 	Leaving bool
+	// Born tells lives of a server apart that bear the same name; zero stands for a server that keeps its state.
+	Born int64
+}
+
+// Removed takes a server out of its group, since it is gone for good.
+type Removed struct {
+	Server string
 }
 
 // Served says whether callers of this node use a group, which it then watches whatever its rank.
@@ -87,6 +98,7 @@
 func (Configured) upstreamEvent()  {}
 func (Peers) upstreamEvent()       {}
 func (Served) upstreamEvent()      {}
+func (Removed) upstreamEvent()     {}
 
 // Action is something that a node is to do about upstreams.
 type Action interface{ upstreamAction() }
@@ -96,6 +108,7 @@
 	Server  string
 	Address string
 	Sent    time.Duration
+	Timeout time.Duration
 }
 
 // AskPromise asks a server to refuse all terms below Term, for this node alone.
@@ -103,13 +116,19 @@
 	Server  string
 	Address string
 	Term    uint64
+	Timeout time.Duration
 }
 
-// OrderPromote tells a server to open as primary of Term.
+// OrderPromote has a server open as primary of Term. Token is the fencing token under which the order is given, if the group's kind
+// has leases, and Until the moment after which it must not be given any more.
 type OrderPromote struct {
+	Group   string
 	Server  string
 	Address string
 	Term    uint64
+	Token   uint64
+	Until   time.Duration
+	Timeout time.Duration
 }
 
 // OrderFollow tells a server to follow the primary of Term.
@@ -118,6 +137,7 @@
 	Address string
 	Term    uint64
 	Primary string
+	Timeout time.Duration
 }
 
 // Publish makes the current view of one group known to its traffic lane.
@@ -158,8 +178,20 @@
 	Term    uint64
 	Primary string
 	Suspect bool
+	// Fenced says that a promotion is under way which keeps the primary from acknowledging writes.
+	Fenced  bool
 	Forks   []session.Fork
 	Servers []ServerView
+	// LedAt is a moment at which the primary had surely not been replaced, and would not be for EvidenceTTL after it.
+	LedAt       time.Duration
+	EvidenceTTL time.Duration
+	// Sample is the latest position that the primary reported to a probe.
+	Sample Sample
+}
+
+// Led reports whether the primary of the view was surely the group's leader at the given moment.
+func (g GroupView) Led(at time.Duration) bool {
+	return g.LedAt != 0 && at <= g.LedAt+g.EvidenceTTL
 }
 
 // ServerView is the picture of one server; ProvenAt is the moment whose log it is known to have applied.
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -9,7 +9,7 @@
 		if g, _ := w.groups.Get(s.Group); !g.Watched {
 			continue
 		}
-		if s.Probing && now-s.Sent >= ProbeTimeout {
+		if s.Probing && now-s.Sent >= w.kind.Times.ProbeTimeout {
 			s = s.WithTimeout()
 			w.servers.Put(k, s)
 			w.hurry(now, s.Group)
@@ -20,7 +20,7 @@
 
 func (w *Watch) nextProbe(now time.Duration, s Server) time.Duration {
 	if s.Probing {
-		return s.Sent + ProbeTimeout
+		return s.Sent + w.kind.Times.ProbeTimeout
 	}
 	if s.Sent == 0 {
 		return now
@@ -33,11 +33,13 @@
 	for _, k := range w.servers.TakeDue(now) {
 		s, _ := w.servers.Get(k)
 		if s.Probing {
-			w.servers.Wake(k, s.Sent+ProbeTimeout)
+			w.servers.Wake(k, s.Sent+w.kind.Times.ProbeTimeout)
 			continue
 		}
 		w.servers.Put(k, s.WithProbe(now))
-		w.servers.Wake(k, now+ProbeTimeout)
-		w.out = append(w.out, Probe{Server: s.Name, Address: s.Address, Sent: now})
+		w.servers.Wake(k, now+w.kind.Times.ProbeTimeout)
+		w.out = append(w.out, Probe{
+			Server: s.Name, Address: s.Address, Sent: now, Timeout: w.kind.Times.ProbeTimeout,
+		})
 	}
 }
--- a/internal/upstream/promote.go
+++ b/internal/upstream/promote.go
@@ -9,6 +9,8 @@
 	"buckthornport.example/buckthornport/internal/operator"
 )
 
+const maxBackoffSteps = 4
+
 // advancePromotions starts a promotion for each suspect group and moves those that are under way.
 func advancePromotions(w *Watch, now time.Duration) {
 	for _, k := range w.groups.TakeDirty() {
@@ -32,9 +34,10 @@
 			missed = s.FirstMiss
 		}
 		p = Promotion{Group: g.Name, Timeline: Timeline{Missed: missed, Detected: now}}
-		w.schedule(p.WithStage(StageBackoff, now+time.Duration(w.rank(g.Name))*RankDelay))
+		w.schedule(p.WithStage(StageBackoff, now+time.Duration(w.rank(g.Name))*w.kind.Times.RankDelay))
 	case !g.Suspect && running && p.Stage == StageBackoff:
 		w.promotions.Delete(g.Name)
+		w.release(p)
 	}
 }
 
@@ -47,6 +50,8 @@
 	switch p.Stage {
 	case StageBackoff:
 		w.begin(now, p)
+	case StageLeasing:
+		w.retry(now, p)
 	case StagePromising:
 		w.endPromising(now, p)
 	case StageOpening:
@@ -56,26 +61,36 @@
 	}
 }
 
-// begin asks all servers of the group for their promise at a term above every promise known.
+// begin asks for promises, after a lease where the kind of group needs one.
 func (w *Watch) begin(now time.Duration, p Promotion) {
 	g, _ := w.groups.Get(p.Group)
-	if !g.Suspect {
+	switch {
+	case !g.Suspect:
 		w.promotions.Delete(p.Group)
-		return
-	}
-	if g.Cause != CauseUnfinished && g.Unmended != 0 && now-g.Unmended < PromiseGrace {
-		w.schedule(p.WithStage(StageBackoff, g.Unmended+PromiseGrace))
-		return
+		w.release(p)
+	case g.Cause != CauseUnfinished && g.Unmended != 0 && now-g.Unmended < w.kind.Times.PromiseGrace:
+		w.schedule(p.WithStage(StageBackoff, g.Unmended+w.kind.Times.PromiseGrace))
+	case w.kind.Leases && !p.Lease.Valid(now):
+		w.seekLease(now, p)
+	default:
+		w.askPromises(now, g, p)
 	}
+}
+
+// askPromises asks the voters for their promise at a term above every promise known.
+func (w *Watch) askPromises(now time.Duration, g Group, p Promotion) {
+	e := w.evidence(now, g)
 	p.Term = g.Term
-	for _, s := range w.rows(g) {
+	for _, s := range e.Servers {
 		p.Term = max(p.Term, s.Status.Promised, s.Status.Term)
 	}
 	p.Term++
-	w.schedule(p.WithStage(StagePromising, now+PromiseTimeout))
+	w.schedule(p.WithStage(StagePromising, now+w.kind.Times.PromiseTimeout))
 	w.out = append(w.out, Intend{Group: p.Group, Term: p.Term})
-	for _, s := range w.rows(g) {
-		w.out = append(w.out, AskPromise{Server: s.Name, Address: s.Address, Term: p.Term})
+	for _, s := range w.kind.Voters(e) {
+		w.out = append(w.out, AskPromise{
+			Server: s.Name, Address: s.Address, Term: p.Term, Timeout: w.kind.Times.PromiseTimeout,
+		})
 	}
 }
 
@@ -85,11 +100,9 @@
 		Kind: operator.KindPromotion, Group: p.Group, Term: p.Term, Server: p.Chosen,
 		Cause: "abandoned_" + string(p.Stage),
 	}.WithEvidence("promises", fmt.Sprint(len(p.Promises))))
-	w.schedule(p.WithRetry(now + w.jitter(RankDelay*time.Duration(1+min(p.Tries, maxBackoffSteps)))))
+	w.schedule(p.WithRetry(now + w.jitter(w.kind.Times.RankDelay*time.Duration(1+min(p.Tries, maxBackoffSteps)))))
 }
 
-const maxBackoffSteps = 4
-
 func (w *Watch) applyPromise(now time.Duration, e Promised) {
 	s, ok := w.servers.Get(e.Server)
 	if !ok {
@@ -105,80 +118,78 @@
 	}
 	p = p.WithPromise(Promise{Server: e.Server, Position: e.Status.Position})
 	g, _ := w.groups.Get(s.Group)
-	if p.Stage == StagePromising && len(candidates(g, p)) > len(g.Servers)/2 {
-		p = p.WithFence(now, w.ttl)
+	if p.Stage == StagePromising && len(w.kind.Fenced(w.evidence(now, g), p.Promises, false)) > 0 {
+		p = p.WithFence(now, w.kind.Times.fenceWait())
 	}
 	w.schedule(p)
 }
 
-// candidates lists the promises that count. A primary that failed does not replace itself where the others are a majority:
-// it may be reachable from here and yet cut off from its group.
-func candidates(g Group, p Promotion) []Promise {
-	if g.Cause == CauseUnfinished || g.Cause == CauseNone {
-		return p.Promises
-	}
-	return slices.DeleteFunc(slices.Clone(p.Promises), func(v Promise) bool { return v.Server == g.Primary })
-}
-
-// endPromising goes on with the failed primary's own promise where no majority came without it.
+// endPromising goes on with the promises that came, where they are enough.
 func (w *Watch) endPromising(now time.Duration, p Promotion) {
 	g, _ := w.groups.Get(p.Group)
-	if len(p.Promises) <= len(g.Servers)/2 {
+	if len(w.kind.Fenced(w.evidence(now, g), p.Promises, true)) == 0 {
 		w.retry(now, p)
 		return
 	}
-	w.schedule(p.WithFence(now, w.ttl))
+	w.schedule(p.WithFence(now, w.kind.Times.fenceWait()))
 }
 
-// open orders the promised server with the longest log to take over.
+// open orders the promised server with the longest log to take over. A group that was given another server meanwhile is no
+// longer fenced.
 func (w *Watch) open(now time.Duration, p Promotion) {
 	g, _ := w.groups.Get(p.Group)
-	ps := candidates(g, p)
-	if len(ps) <= len(g.Servers)/2 {
-		ps = p.Promises
+	e := w.evidence(now, g)
+	ps := w.kind.Fenced(e, p.Promises, true)
+	if len(ps) == 0 || w.kind.Leases && !p.Lease.Valid(now) {
+		w.retry(now, p)
+		return
 	}
 	best := slices.MaxFunc(ps, func(a, b Promise) int {
-		return cmp.Or(a.Position.Compare(b.Position), preferPrimary(g, a, b), cmp.Compare(b.Server, a.Server))
+		return cmp.Or(a.Position.Compare(b.Position), w.kind.Prefer(e, a, b))
 	})
 	t := p.Timeline
 	t.Ordered = now
-	w.schedule(p.WithChosen(best.Server).WithTimeline(t).WithStage(StageOpening, now+OpenTimeout))
+	w.schedule(p.WithChosen(best.Server).WithTimeline(t).WithStage(StageOpening, now+w.kind.Times.OpenTimeout))
 	s, _ := w.servers.Get(best.Server)
-	w.out = append(w.out, OrderPromote{Server: s.Name, Address: s.Address, Term: p.Term})
-}
-
-// preferPrimary keeps the present primary where its log is as long as any, so that healing moves nobody.
-func preferPrimary(g Group, a, b Promise) int {
-	switch g.Primary {
-	case a.Server:
-		return 1
-	case b.Server:
-		return -1
-	default:
-		return 0
-	}
+	w.out = append(w.out, OrderPromote{
+		Group: p.Group, Server: s.Name, Address: s.Address, Term: p.Term, Token: p.Lease.Token, Until: p.Lease.Until,
+		Timeout: w.kind.Times.OpenTimeout,
+	})
 }
 
+// applyPromoted takes the answer to an order to open; a server that opens only later shows so in its status.
 func (w *Watch) applyPromoted(now time.Duration, e Promoted) {
 	s, ok := w.servers.Get(e.Server)
 	if !ok {
 		return
 	}
 	p, ok := w.promotions.Get(s.Group)
-	if !ok || p.Term != e.Term || p.Chosen != e.Server {
+	if !ok || p.Stage != StageOpening || p.Term != e.Term || p.Chosen != e.Server {
 		return
 	}
-	if !e.Done {
+	switch {
+	case e.Accepted:
+		w.hurry(now, s.Group)
+	case !e.Done:
 		w.retry(now, p)
+	default:
+		w.learn(now, s.Group, e.Term, e.Server, &e.Status, "promoted")
+	}
+}
+
+// endPromotion closes a group's promotion once a primary of a higher term is known.
+func (w *Watch) endPromotion(now time.Duration, g Group, term uint64, primary string, st *Status) {
+	p, ok := w.promotions.Get(g.Name)
+	if !ok || !w.kind.Leases && p.Term > term {
 		return
 	}
-	t := p.Timeline
-	t.Opened = now
-	p = p.WithTimeline(t)
-	g, _ := w.groups.Get(s.Group)
-	w.note(promotionRecord(g, p, e.Status))
-	w.promotions.Delete(p.Group)
-	w.learn(now, s.Group, e.Term, e.Server, &e.Status, "promoted")
+	if p.Stage == StageOpening && p.Chosen == primary && st != nil {
+		t := p.Timeline
+		t.Opened = now
+		w.note(promotionRecord(g, p.WithTimeline(t), *st))
+	}
+	w.promotions.Delete(g.Name)
+	w.release(p)
 }
 
 func promotionRecord(g Group, p Promotion, st Status) operator.Record {
--- a/internal/upstream/rows.go
+++ b/internal/upstream/rows.go
@@ -44,6 +44,9 @@
 	Refusals  int
 	FirstMiss time.Duration
 	Followed  time.Duration
+	Born      int64
+	// Advanced is when the server was last seen to hold more of the log than before.
+	Advanced time.Duration
 	// Leaving is what the bundle says, Listed what the platform's list of VMs says.
 	Leaving bool
 	Listed  bool
@@ -63,6 +66,9 @@
 	s.Heard = sent
 	s.Refusals = 0
 	s.FirstMiss = 0
+	if st.Position.Compare(s.Status.Position) > 0 {
+		s.Advanced = sent
+	}
 	s.Status = st
 	return s
 }
@@ -119,8 +125,8 @@
 }
 
 // Fresh reports whether the last answer is young enough to count as evidence.
-func (s Server) Fresh(now time.Duration) bool {
-	return s.Known && s.Refusals == 0 && now-s.Heard <= FreshFor
+func (s Server) Fresh(now, limit time.Duration) bool {
+	return s.Known && s.Refusals == 0 && now-s.Heard <= limit
 }
 
 // Group is the row of one database group.
@@ -137,6 +143,41 @@
 	Unmended time.Duration
 	Served   bool
 	Watched  bool
+	// LedAt is when the probe left whose answer last showed that the primary had not been replaced.
+	LedAt time.Duration
+	// Headless is since when no server has shown itself as primary, zero while one does.
+	Headless time.Duration
+	// Stuck is since when the primary holds more than any replica while none has received beyond StuckAt.
+	Stuck   time.Duration
+	StuckAt session.Position
+}
+
+// WithHeadless returns the row without a primary that shows itself since a moment, or zero for none.
+func (g Group) WithHeadless(since time.Duration) Group {
+	g.Headless = since
+	return g
+}
+
+// WithStuck returns the row with replicas that stand at a position since a moment, or zero for none.
+func (g Group) WithStuck(since time.Duration, at session.Position) Group {
+	g.Stuck = since
+	g.StuckAt = at
+	return g
+}
+
+// WithLed returns the row with evidence from a probe sent at a moment.
+func (g Group) WithLed(at time.Duration) Group {
+	g.LedAt = max(g.LedAt, at)
+	return g
+}
+
+// WithoutServer returns the row without a server that is gone; a primary that is gone leaves the group without one.
+func (g Group) WithoutServer(server string) Group {
+	g.Servers = slices.DeleteFunc(slices.Clone(g.Servers), func(n string) bool { return n == server })
+	if g.Primary == server {
+		g.Primary = ""
+	}
+	return g
 }
 
 // WithDuty returns the row with whether this node's callers use the group, and whether the node watches it.
@@ -164,6 +205,8 @@
 	g.Term = term
 	g.Primary = primary
 	g.Forks = slices.Clone(fs)
+	g.LedAt = 0
+	g.Samples = nil
 	return g.WithoutSuspicion()
 }
 
@@ -224,6 +267,8 @@
 	StageWaiting   Stage = "waiting"
 	StageOpening   Stage = "opening"
 	StageBackoff   Stage = "backoff"
+	// StageLeasing waits for the platform's store to say who may order changes of primary.
+	StageLeasing Stage = "leasing"
 )
 
 // Promotion is the row of one attempt to replace a primary.
@@ -236,6 +281,7 @@
 	Due      time.Duration
 	Timeline Timeline
 	Tries    int
+	Lease    Lease
 }
 
 // Promise is one server's word that it refuses terms below the promotion's.
@@ -260,6 +306,12 @@
 	return p
 }
 
+// WithoutPromise returns the row without a server's promise.
+func (p Promotion) WithoutPromise(server string) Promotion {
+	p.Promises = slices.DeleteFunc(slices.Clone(p.Promises), func(o Promise) bool { return o.Server == server })
+	return p
+}
+
 // WithStage returns the row in another stage that ends at due.
 func (p Promotion) WithStage(s Stage, due time.Duration) Promotion {
 	p.Stage = s
--- a/internal/upstream/suspect.go
+++ b/internal/upstream/suspect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"buckthornport.example/buckthornport/internal/operator"
+	"buckthornport.example/buckthornport/pkg/session"
 )
 
 // The causes for which a primary is replaced.
@@ -34,7 +35,9 @@
 // weigh returns the group's row with its suspicion raised, kept or dropped.
 func (w *Watch) weigh(now time.Duration, g Group) Group {
 	g = w.weighPromises(now, g)
-	cause := w.judge(Evidence{Now: now, Group: g, Servers: w.rows(g), Silence: w.silence})
+	g = w.weighPrimary(now, g)
+	g = w.weighReplicas(now, g)
+	cause := w.kind.Judge(w.evidence(now, g))
 	switch {
 	case cause == "" && g.Suspect:
 		w.note(operator.Record{
@@ -53,7 +56,7 @@
 // weighPromises keeps the moment since which some server has refused the current term.
 func (w *Watch) weighPromises(now time.Duration, g Group) Group {
 	for _, s := range w.rows(g) {
-		if s.Fresh(now) && s.Status.Promised > g.Term {
+		if s.Fresh(now, w.kind.Times.FreshFor) && s.Status.Promised > g.Term {
 			if g.Unmended == 0 {
 				g = g.WithUnmended(now)
 			}
@@ -63,12 +66,50 @@
 	return g.WithUnmended(0)
 }
 
+// weighPrimary keeps the moment since which no server has shown itself as the group's primary.
+func (w *Watch) weighPrimary(now time.Duration, g Group) Group {
+	p, ok := w.servers.Get(g.Primary)
+	switch {
+	case ok && p.Known && p.Status.Role == RolePrimary && now-p.Heard < w.kind.Times.ProbeFar:
+		return g.WithHeadless(0)
+	case g.Headless != 0:
+		return g
+	case ok && p.Known && p.Status.Role == RolePrimary:
+		return g.WithHeadless(p.Heard)
+	default:
+		return g.WithHeadless(now)
+	}
+}
+
+// weighReplicas keeps the moment since which no replica has received what the primary already holds.
+func (w *Watch) weighReplicas(now time.Duration, g Group) Group {
+	p, ok := w.servers.Get(g.Primary)
+	var most session.Position
+	for _, s := range w.rows(g) {
+		if s.Name != g.Primary && s.Known {
+			most = most.Max(s.Status.Position)
+		}
+	}
+	switch {
+	case !ok || !p.Known || most.Covers(p.Status.Position):
+		return g.WithStuck(0, session.Position{})
+	case g.Stuck == 0 || most.Compare(g.StuckAt) > 0:
+		return g.WithStuck(now, most)
+	default:
+		return g
+	}
+}
+
 // Evidence is what a node knows about a group when it judges the group's primary.
 type Evidence struct {
 	Now     time.Duration
 	Group   Group
 	Servers []Server
-	Silence time.Duration
+	Times   Times
+}
+
+func (w *Watch) evidence(now time.Duration, g Group) Evidence {
+	return Evidence{Now: now, Group: g, Servers: w.rows(g), Times: w.kind.Times}
 }
 
 // Judge returns why the primary of a group counts as failed, or "".
@@ -77,17 +118,17 @@
 	p, known := e.primary()
 	majority := len(e.Group.Servers)/2 + 1
 	switch {
-	case e.Group.Unmended != 0 && e.Now-e.Group.Unmended >= PromiseGrace:
+	case e.Group.Unmended != 0 && e.Now-e.Group.Unmended >= e.Times.PromiseGrace:
 		return CauseUnfinished
 	case !known || e.Group.Term == 0:
-		if fresh >= majority && e.Now >= e.Silence {
+		if fresh >= majority && e.Now >= e.Times.Silence {
 			return CauseNone
 		}
 	case p.Refusals >= RefusalsNeeded && closed > 0:
 		return CauseClosed
 	case silent >= majority:
 		return CauseSilent
-	case p.Fresh(e.Now) && p.Status.Role == RolePrimary && p.Status.QuorumAge >= e.Silence && fresh >= majority:
+	case p.Fresh(e.Now, e.Times.FreshFor) && p.Status.Role == RolePrimary && p.Status.QuorumAge >= e.Times.Silence && fresh >= majority:
 		return CauseQuorumLost
 	}
 	return ""
@@ -105,14 +146,14 @@
 // count returns how many servers answered lately, and how many replicas find their primary silent or its door closed.
 func (e Evidence) count() (fresh, silent, closed int) {
 	for _, s := range e.Servers {
-		if !s.Fresh(e.Now) {
+		if !s.Fresh(e.Now, e.Times.FreshFor) {
 			continue
 		}
 		fresh++
 		if s.Name == e.Group.Primary || s.Status.Role != RoleReplica || s.Status.Term != e.Group.Term {
 			continue
 		}
-		if s.Status.PrimaryAge >= e.Silence {
+		if s.Status.PrimaryAge >= e.Times.Silence {
 			silent++
 		}
 		if s.Status.LinkClosed {
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -23,15 +23,14 @@
 }
 
 func (w *Watch) orderFollower(now time.Duration, g Group, p, s Server) {
-	outside := s.Status.Term < g.Term || s.Status.Role == RolePrimary && s.Status.Term == g.Term
-	if s.Name == g.Primary || !s.Fresh(now) || !outside || s.Status.Promised > g.Term {
+	if s.Name == g.Primary || !s.Fresh(now, w.kind.Times.FreshFor) || !w.kind.Outside(g, s) {
 		return
 	}
-	if s.Followed != 0 && now-s.Followed < FollowEvery {
+	if s.Followed != 0 && now-s.Followed < w.kind.Times.FollowEvery {
 		return
 	}
 	w.servers.Put(s.Name, s.WithFollowed(now))
-	w.out = append(w.out, OrderFollow{Server: s.Name, Address: s.Address, Term: g.Term, Primary: p.Address})
+	w.out = append(w.out, OrderFollow{Server: s.Name, Address: s.Address, Term: g.Term, Primary: p.Address, Timeout: w.kind.Times.OpenTimeout})
 	w.note(operator.Record{
 		Kind: operator.KindRejoin, Group: g.Name, Server: s.Name, Term: g.Term,
 		Cause: "outside_term",
@@ -48,16 +47,20 @@
 }
 
 func (w *Watch) view(now time.Duration, g Group) GroupView {
-	v := GroupView{Name: g.Name, Term: g.Term, Primary: g.Primary, Suspect: g.Suspect, Forks: g.Forks}
+	v := GroupView{
+		Name: g.Name, Term: g.Term, Primary: g.Primary, Suspect: g.Suspect, Forks: g.Forks, LedAt: g.LedAt, Fenced: g.Unmended != 0 && w.kind.Leases,
+		EvidenceTTL: w.kind.Times.EvidenceTTL,
+	}
+	if n := len(g.Samples); n > 0 {
+		v.Sample = g.Samples[n-1]
+	}
 	for _, s := range w.rows(g) {
 		at, ok := g.ProvenAt(s.Status.Applied)
 		v.Servers = append(v.Servers, ServerView{
 			Name: s.Name, Zone: s.Zone, Address: s.Address, Role: s.Status.Role, Term: s.Status.Term,
 			Applied: s.Status.Applied, ProvenAt: at, Proven: ok,
-			Alive: s.Known && s.Refusals == 0 && now-s.Heard <= aliveFor, Leaving: s.Leaves(),
+			Alive: s.Known && s.Refusals == 0 && now-s.Heard <= w.kind.Times.AliveFor, Leaving: s.Leaves(),
 		})
 	}
 	return v
 }
-
-const aliveFor = 2 * ProbeTimeout
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -16,14 +16,14 @@
 	groups     *table.Table[string, Group]
 	servers    *table.Table[string, Server]
 	promotions *table.Table[string, Promotion]
+	leases     *table.Table[string, seen]
 	peers      []string
 	expected   time.Duration
 	stale      map[string]bool
 	out        []Action
 	jitter     func(limit time.Duration) time.Duration
-	ttl        time.Duration
-	silence    time.Duration
-	judge      func(e Evidence) string
+	kind       Kind
+	nearness   func(zone string) int
 	systems    []system
 }
 
@@ -46,7 +46,7 @@
 // WithEvidenceTTL replaces the wait between fencing and opening.
 func WithEvidenceTTL(d time.Duration) Option {
 	return func(w *Watch) error {
-		w.ttl = d
+		w.kind.Times.EvidenceTTL = d
 		return nil
 	}
 }
@@ -54,7 +54,23 @@
 // WithSilenceLimit replaces the silence that counts as a primary's failure.
 func WithSilenceLimit(d time.Duration) Option {
 	return func(w *Watch) error {
-		w.silence = d
+		w.kind.Times.Silence = d
+		return nil
+	}
+}
+
+// WithKind has the groups watched and repaired as those of another kind; it goes before options that replace parts of it.
+func WithKind(k Kind) Option {
+	return func(w *Watch) error {
+		w.kind = k
+		return nil
+	}
+}
+
+// WithNearness tells how far a zone is: zero for the node's own, one for its region, more for others.
+func WithNearness(f func(zone string) int) Option {
+	return func(w *Watch) error {
+		w.nearness = f
 		return nil
 	}
 }
@@ -62,7 +78,7 @@
 // WithJudge replaces the decision whether a primary has failed.
 func WithJudge(f func(e Evidence) string) Option {
 	return func(w *Watch) error {
-		w.judge = f
+		w.kind.Judge = f
 		return nil
 	}
 }
@@ -88,13 +104,13 @@
 		groups:     table.New[string, Group](),
 		servers:    table.New[string, Server](),
 		promotions: table.New[string, Promotion](),
+		leases:     table.New[string, seen](),
 		peers:      []string{node},
 		expected:   table.Never,
 		stale:      map[string]bool{},
 		jitter:     func(limit time.Duration) time.Duration { return limit / 2 },
-		ttl:        EvidenceTTL,
-		silence:    SilenceLimit,
-		judge:      Judge,
+		kind:       Quorum(),
+		nearness:   func(string) int { return 0 },
 	}
 	w.systems = []system{
 		{"timeouts", expireProbes},
@@ -163,6 +179,14 @@
 		}
 	case Configured:
 		w.configure(now, e)
+	case Removed:
+		w.remove(now, e.Server)
+	case LeaseRead:
+		w.leaseRead(now, e)
+	case LeaseTaken:
+		w.leaseTaken(now, e)
+	case LeaseFailed:
+		w.leaseFailed(now, e)
 	case Peers:
 		w.peers = slices.Clone(e.Nodes)
 		for _, k := range w.groups.Keys() {
@@ -201,12 +225,39 @@
 		g, _ := w.groups.Get(e.Group)
 		w.groups.Put(e.Group, g.WithServer(e.Group, e.Server).WithDuty(g.Served, true))
 	}
+	if known && s.Born != e.Born {
+		w.reborn(s)
+		s = Server{Name: e.Server, Group: e.Group}
+	}
 	s.Zone = e.Zone
 	s.Address = e.Address
+	s.Born = e.Born
 	w.servers.Put(e.Server, s.WithLeaving(e.Leaving))
 	w.servers.Wake(e.Server, now)
 }
 
+// reborn drops what a server said in an earlier life, above all its promise.
+func (w *Watch) reborn(s Server) {
+	w.note(operator.Record{Kind: operator.KindMember, Group: s.Group, Server: s.Name, Cause: "restarted"})
+	if p, ok := w.promotions.Get(s.Group); ok && p.Stage != StageOpening {
+		w.promotions.Put(p.Group, p.WithoutPromise(s.Name))
+	}
+}
+
+// remove forgets a server that is gone for good.
+func (w *Watch) remove(now time.Duration, server string) {
+	s, ok := w.servers.Get(server)
+	if !ok {
+		return
+	}
+	g, _ := w.groups.Get(s.Group)
+	w.note(operator.Record{Kind: operator.KindLeaving, Group: s.Group, Server: server, Term: g.Term, Cause: "gone"}.
+		WithEvidence("led", fmt.Sprint(g.Primary == server)))
+	w.servers.Delete(server)
+	w.groups.Put(s.Group, g.WithoutServer(server))
+	w.hurry(now, s.Group)
+}
+
 func (w *Watch) applyStatus(now time.Duration, e Probed) {
 	s, ok := w.servers.Get(e.Server)
 	if !ok || e.Sent < s.Heard {
@@ -222,6 +273,7 @@
 func (w *Watch) takeStatus(now time.Duration, s Server) {
 	st := s.Status
 	if st.Role != RolePrimary {
+		w.takeLead(s)
 		return
 	}
 	w.learn(now, s.Group, st.Term, s.Name, &st, "seen")
@@ -237,6 +289,13 @@
 	w.groups.Put(s.Group, g)
 }
 
+// takeLead keeps a replica's word that its group's primary had not been replaced when the probe left.
+func (w *Watch) takeLead(s Server) {
+	if g, _ := w.groups.Get(s.Group); w.kind.Leads(g, s) {
+		w.groups.Put(s.Group, g.WithLed(s.Heard))
+	}
+}
+
 // learn adopts a route if its term is higher than the known one.
 func (w *Watch) learn(now time.Duration, group string, term uint64, primary string, st *Status, how string) {
 	g, ok := w.groups.Get(group)
@@ -249,9 +308,7 @@
 		g = g.WithForks(st.Forks)
 	}
 	w.groups.Put(group, g)
-	if p, ok := w.promotions.Get(group); ok && p.Term <= term {
-		w.promotions.Delete(group)
-	}
+	w.endPromotion(now, old, term, primary, st)
 	for _, n := range g.Servers {
 		w.servers.Wake(n, now)
 	}
@@ -271,7 +328,7 @@
 		s = s.WithTimeout()
 	}
 	w.servers.Put(e.Server, s)
-	w.servers.Wake(e.Server, now+ProbeSoon)
+	w.servers.Wake(e.Server, now+w.kind.Times.ProbeSoon)
 	w.hurry(now, s.Group)
 }
 
@@ -280,7 +337,7 @@
 	g, _ := w.groups.Get(group)
 	for _, n := range g.Servers {
 		if s, ok := w.servers.Get(n); ok && !s.Probing {
-			w.servers.Wake(n, max(now, s.Sent+ProbeSoon))
+			w.servers.Wake(n, max(now, s.Sent+w.kind.Times.ProbeSoon))
 		}
 	}
 }
@@ -289,16 +346,33 @@
 func (w *Watch) interval(s Server) time.Duration {
 	g, _ := w.groups.Get(s.Group)
 	if _, ok := w.promotions.Get(s.Group); ok || g.Suspect {
-		return ProbeSoon
+		return w.kind.Times.ProbeSoon
 	}
 	if p, ok := w.servers.Get(g.Primary); ok && p.FirstMiss != 0 {
-		return ProbeSoon
+		return w.kind.Times.ProbeSoon
 	}
 	st := s.Status
-	if st.PrimaryAge > DoubtAfter || st.QuorumAge > DoubtAfter || st.LinkClosed || st.Promised > g.Term {
-		return ProbeSoon
+	if st.PrimaryAge > w.kind.Times.DoubtAfter || st.QuorumAge > w.kind.Times.DoubtAfter || st.LinkClosed || st.Promised > g.Term {
+		return w.kind.Times.ProbeSoon
+	}
+	if w.closest(g) == s.Name || s.Name == g.Primary && w.nearness(s.Zone) == 0 {
+		return w.kind.Times.ProbeEvery
+	}
+	return w.kind.Times.ProbeFar
+}
+
+// closest names the replica that is watched most closely for evidence about its primary, the nearest one that answers.
+func (w *Watch) closest(g Group) string {
+	best, far := "", 0
+	for _, s := range w.rows(g) {
+		if s.Name == g.Primary || !s.Known || s.FirstMiss != 0 {
+			continue
+		}
+		if d := w.nearness(s.Zone); best == "" || d < far {
+			best, far = s.Name, d
+		}
 	}
-	return ProbeEvery
+	return best
 }
 
 func (w *Watch) note(r operator.Record) {
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -26,6 +26,17 @@
 	Callers          []Caller `json:"callers"`
 	Keys             []Key    `json:"keys"`
 	SignaturesNeeded int      `json:"signatures_needed"`
+	// Routes lead database names to groups, where a deployment's platform says so; without any, a group is reached by its
+	// own name.
+	Routes []Route `json:"routes,omitempty"`
+}
+
+// Route leads callers of a database to a group, and puts their requests into one class.
+type Route struct {
+	Name     string `json:"name"`
+	Database string `json:"database"`
+	Group    string `json:"group"`
+	Class    Class  `json:"class"`
 }
 
 // Zone is an availability zone and the region that it stands in.
@@ -41,6 +52,8 @@
 	Connections    int      `json:"connections"`
 	SlotsPerServer int      `json:"slots_per_server"`
 	Classes        []Class  `json:"classes"`
+	// ConnectionsPerServer bounds the connections to each server over all proxies together, in place of Connections.
+	ConnectionsPerServer int `json:"connections_per_server,omitempty"`
 }
 
 // Server is one database server; Address is IP:PORT.
@@ -62,6 +75,10 @@
 	AcknowledgeAfter Ack    `json:"acknowledge_after"`
 	Long             bool   `json:"long"`
 	Priority         int    `json:"priority"`
+	// IdleTransactionMS is how long a transaction may stay open without a request, and ObjectiveMS how long a request may
+	// take before its caller counts it as late; zero stands for the default, and for none.
+	IdleTransactionMS uint64 `json:"idle_transaction_ms,omitempty"`
+	ObjectiveMS       uint64 `json:"objective_ms,omitempty"`
 }
 
 // Match selects requests by the verb of the statement and the tables that it names; an empty list matches all.
@@ -87,6 +104,8 @@
 const (
 	DefaultDeadline = 10 * time.Second
 	DefaultPriority = 5
+	// DefaultIdleTransaction is the time for which a transaction may stay open without a request.
+	DefaultIdleTransaction = time.Minute
 )
 
 // Deadline is the time that a request of this class may take from its arrival.
@@ -97,6 +116,14 @@
 	return time.Duration(c.DeadlineMS) * time.Millisecond
 }
 
+// IdleTransaction is the time for which a transaction of this class may stay open without a request.
+func (c Class) IdleTransaction() time.Duration {
+	if c.IdleTransactionMS == 0 {
+		return DefaultIdleTransaction
+	}
+	return time.Duration(c.IdleTransactionMS) * time.Millisecond
+}
+
 // MaxAge is the age of data that reads of this class accept; zero stands for none.
 func (c Class) MaxAge() time.Duration {
 	return time.Duration(c.MaxAgeMS) * time.Millisecond
@@ -131,6 +158,15 @@
 	return Class{Name: "default", Priority: DefaultPriority}
 }
 
+// Route returns the route of a database, and whether there is one.
+func (b Bundle) Route(database string) (Route, bool) {
+	i := slices.IndexFunc(b.Routes, func(r Route) bool { return r.Database == database })
+	if i < 0 {
+		return Route{}, false
+	}
+	return b.Routes[i], true
+}
+
 // Group returns the named group, and whether there is one.
 func (b Bundle) Group(name string) (Group, bool) {
 	i := slices.IndexFunc(b.Groups, func(g Group) bool { return g.Name == name })
