Serve the users' platform: its wire, store and orders behind the same decisions

Cause: the platform speaks lines, HTTP and a store of its own. platform/ decodes them once; internal/fleet puts a node together from the same lanes, watch and membership; cmd/buckthornport-fleet is a program of its own since memory is priced there.

--- /dev/null
+++ b/cmd/buckthornport-fleet/main.go
@@ -0,0 +1,89 @@
+// Command buckthornport-fleet runs one proxy on the users' platform. It is a program of its own because memory is dear there:
+// it holds neither the SQL grammar nor the stand-ins.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"buckthornport.example/buckthornport/internal/fleet"
+	"buckthornport.example/buckthornport/internal/settings"
+)
+
+const (
+	// gcPercent trades a little processor time for a small heap, since memory at its peak is what the platform charges for.
+	gcPercent = 40
+	// memoryTarget is the heap above which the collector works harder, in bytes.
+	memoryTarget = 24 << 20
+)
+
+type cli struct {
+	Settings string `env:"BUCKTHORNPORT_SETTINGS" required:"" type:"path" help:"Settings file, JSON with comments."`
+	Check    bool   `help:"Check the settings and exit."`
+}
+
+func main() {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(memoryTarget)
+	var c cli
+	kong.Parse(&c, kong.Name("buckthornport-fleet"), kong.Description("One proxy on the users' platform."))
+	if err := c.run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func (c cli) run() error {
+	source, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	s, err := settings.ParseFleet(c.Settings, source)
+	if err != nil || c.Check {
+		return err
+	}
+	log, err := newLogger(s.LogLevel)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	n, err := fleet.New(context.Background(), s, fleet.WithLogger(log.With(zap.String("node", s.Node))))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	go drainOnSignal(n)
+	return n.Run()
+}
+
+// drainOnSignal drains the node on the first signal and stops it at once on the second.
+func drainOnSignal(n *fleet.Node) {
+	c := make(chan os.Signal, 2)
+	signal.Notify(c, syscall.SIGINT, syscall.SIGTERM)
+	<-c
+	go n.Drain()
+	<-c
+	n.Stop()
+}
+
+// newLogger returns a logger that writes JSON lines to standard output.
+func newLogger(level string) (*zap.Logger, error) {
+	cfg := zap.NewProductionConfig()
+	if err := cfg.Level.UnmarshalText([]byte(level)); err != nil {
+		return nil, err
+	}
+	cfg.Sampling = nil
+	cfg.DisableStacktrace = true
+	cfg.DisableCaller = true
+	cfg.OutputPaths = []string{"stdout"}
+	cfg.EncoderConfig.TimeKey = "time"
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	return cfg.Build()
+}
--- a/internal/caller/policy.go
+++ b/internal/caller/policy.go
@@ -116,3 +116,41 @@
 	n := q.Rotation % len(ss)
 	return append(ss[n:len(ss):len(ss)], ss[:n]...)
 }
+
+const (
+	// unmeasured is what an answer of a server is taken to take before the first came.
+	unmeasured = 20 * time.Millisecond
+	// primaryCost is how much slower a read may be at a replica before it takes a slot of the primary.
+	primaryCost = 30 * time.Millisecond
+)
+
+// distanceCosts are what a read pays for the way to a server of the own zone, of the own region, and of another.
+var distanceCosts = [...]time.Duration{0, 3 * time.Millisecond, 40 * time.Millisecond}
+
+// Quickest is Ours with static shares of slots, and reads sent where they are likely to be answered first; nearness is zero for
+// the own zone, one for the own region and two for others.
+func Quickest(nearness func(zone string) int) Policy {
+	p := Ours()
+	p.Name = "quickest"
+	p.Leases = false
+	p.ReplicaPatience = 0
+	p.Route = func(q Query) []Server { return routeQuickest(q, nearness) }
+	return p
+}
+
+func routeQuickest(q Query, nearness func(zone string) int) []Server {
+	cost := func(s Server) time.Duration {
+		took := s.Took
+		if took == 0 {
+			took = unmeasured
+		}
+		c := took*time.Duration(1+s.Running)/2 + distanceCosts[min(nearness(s.View.Zone), len(distanceCosts)-1)]
+		if s.View.Name == q.Primary {
+			c += primaryCost
+		}
+		return c
+	}
+	ss := slices.Clone(q.Servers)
+	slices.SortStableFunc(ss, func(a, b Server) int { return cmp.Compare(cost(a), cost(b)) })
+	return ss
+}
--- a/internal/caller/rows.go
+++ b/internal/caller/rows.go
@@ -36,6 +36,8 @@
 	Class   bundle.Class
 	Key     string
 	Version uint64
+	// ID is the caller's own name for the request, for the log.
+	ID string
 	// ReadOnly says that the transaction which a statement begins only reads.
 	ReadOnly bool
 	// Writes says that a batch which begins or commits a transaction writes in it as well.
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -29,6 +29,9 @@
 	Encoded []byte
 }
 
+// ErrKnown says that an offered bundle is the one in force.
+var ErrKnown = errors.New("the bundle is in force already")
+
 // maxRounds bounds how often the packages hand each other news within one step.
 const maxRounds = 4
 
@@ -38,6 +41,8 @@
 	Wall func(elapsed time.Duration) time.Time
 	// Accept returns the bundle that follows the current one, or why the offered one does not come into force.
 	Accept func(current bundle.Bundle, encoded []byte) (bundle.Bundle, error)
+	// Spreads says that peers hand bundles on; where all read them from one store, that costs more than it gives.
+	Spreads bool
 
 	watch   *upstream.Watch
 	members *peer.Membership
@@ -55,7 +60,7 @@
 	return &Node{
 		name: name, bundle: b, watch: w, members: m, outbox: o, listed: platform.NewDirectory(),
 		Wall:   func(time.Duration) time.Time { return time.Time{} },
-		Accept: acceptSigned,
+		Accept: acceptSigned, Spreads: true,
 	}
 }
 
@@ -203,13 +208,18 @@
 func (n *Node) runBundles(now time.Duration, in inbox, next *inbox) {
 	for _, o := range in.bundles {
 		b, err := n.Accept(n.bundle, o.Encoded)
+		if errors.Is(err, ErrKnown) {
+			continue
+		}
 		if err != nil {
 			n.refuse(now, next, o, err)
 			continue
 		}
 		n.bundle = b
 		n.out = append(n.out, BundleAdopted{Bundle: b, Encoded: o.Encoded})
-		next.add(peer.BundleKnown{Version: b.Version, Bundle: o.Encoded})
+		if n.Spreads {
+			next.add(peer.BundleKnown{Version: b.Version, Bundle: o.Encoded})
+		}
 		n.record(now, next, operator.Record{Kind: operator.KindBundle, Cause: "in_force"}.WithEvidence("source", o.Source))
 	}
 }
--- /dev/null
+++ b/internal/fleet/assemble.go
@@ -0,0 +1,195 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"buckthornport.example/buckthornport/internal/caller"
+	"buckthornport.example/buckthornport/internal/control"
+	"buckthornport.example/buckthornport/internal/peer"
+	"buckthornport.example/buckthornport/internal/peerlink"
+	listing "buckthornport.example/buckthornport/internal/platform"
+	"buckthornport.example/buckthornport/internal/traffic"
+	"buckthornport.example/buckthornport/internal/upstream"
+	"buckthornport.example/buckthornport/pkg/bundle"
+	"buckthornport.example/buckthornport/platform"
+)
+
+// tableLeases holds a row for each group with the lease under which its primary may be changed.
+const tableLeases = "buckthornport_leases"
+
+func (n *Node) makeLink() error {
+	var err error
+	n.link, err = peerlink.New(func(m peer.Message) { n.thread.Post(peer.Received{Message: m}) })
+	return err
+}
+
+func (n *Node) makeThread() error {
+	w, err := upstream.NewWatch(n.settings.Peer, upstream.WithKind(upstream.Appointed()), upstream.WithJitter(jitter),
+		upstream.WithNearness(n.settings.Nearness))
+	if err != nil {
+		return err
+	}
+	life := uint64(n.start.UnixNano())
+	opts := []peer.Option{peer.WithRandom(random)}
+	for _, a := range n.settings.Seeds {
+		if a != n.settings.Peer {
+			opts = append(opts, peer.WithMember(a, "", a))
+		}
+	}
+	m, err := peer.NewMembership(n.settings.Peer, n.settings.Zone, n.settings.Peer, life, opts...)
+	if err != nil {
+		return err
+	}
+	o, err := listing.NewOutbox(n.settings.Node, life, listing.WithJitter(jitter))
+	if err != nil {
+		return err
+	}
+	d := control.NewNode(n.settings.Node, bundle.Bundle{}, w, m, o)
+	d.Wall = func(elapsed time.Duration) time.Time { return n.start.Add(elapsed).UTC() }
+	d.Accept = acceptConfig
+	d.Spreads = false
+	n.thread = control.NewThread(n.ctx, n.clock, d)
+	n.connectThread()
+	return nil
+}
+
+// acceptConfig takes the operator's newest configuration; that the store has accepted it is the sign-off.
+func acceptConfig(current bundle.Bundle, encoded []byte) (bundle.Bundle, error) {
+	b, err := platform.DecodeConfig("platform", encoded)
+	switch {
+	case err != nil:
+		return bundle.Bundle{}, err
+	case b.Version <= current.Version:
+		return bundle.Bundle{}, control.ErrKnown
+	}
+	return b, nil
+}
+
+// connectThread gives the control thread the functions by which it acts.
+func (n *Node) connectThread() {
+	t := n.thread
+	t.Status = n.servers.Status
+	t.Promise = n.servers.Promise
+	t.Promote = n.orders.Promote
+	t.Follow = n.servers.Follow
+	t.Resume = n.servers.Resume
+	t.Refused = platform.Refused
+	t.ReadLease = n.readLease
+	t.TakeLease = n.takeLease
+	t.FreeLease = n.freeLease
+	t.Send = func(a peer.Send) { n.link.Send(a.Address, a.Message) }
+	// Logs are the audit trail here, and leases the only thing that is left in the store.
+	t.Put = func(context.Context, listing.PutRecords) error { return nil }
+	t.Intend = func(upstream.Intend) {}
+	t.Announce = func(upstream.Announce) {}
+	t.Adopt = n.adopt
+	t.Members = n.setMembers
+	t.Listed = n.setServer
+	t.Note = n.keep
+	t.Publish = n.publish
+	t.Failed = func(call, subject string, err error) {
+		n.log.Warn("call failed", zap.String("call", call), zap.String("subject", subject), zap.Error(err))
+	}
+}
+
+func (n *Node) publish(v upstream.GroupView) {
+	n.mu.Lock()
+	n.led[v.Name] = v.Primary != ""
+	l, ok := n.lanes[v.Name]
+	n.mu.Unlock()
+	if ok {
+		l.Post(caller.Viewed{View: v})
+	}
+}
+
+// mayOrder reports whether the lease behind an order still holds on this node's own clock.
+func (n *Node) mayOrder(a upstream.OrderPromote) bool {
+	return n.clock() < a.Until
+}
+
+func (n *Node) readLease(ctx context.Context, a upstream.ReadLease) (upstream.Lease, error) {
+	r, err := n.store.ReadRow(ctx, tableLeases, a.Group)
+	if err != nil {
+		return upstream.Lease{}, err
+	}
+	return decodeLease(r)
+}
+
+func decodeLease(r platform.Row) (upstream.Lease, error) {
+	l := upstream.Lease{Version: r.Version}
+	if r.Version == 0 {
+		return l, nil
+	}
+	err := json.Unmarshal(r.Value, &l)
+	return l, err
+}
+
+// takeLease writes the lease if its row is unchanged, and otherwise returns the one that is there.
+func (n *Node) takeLease(ctx context.Context, a upstream.TakeLease) (upstream.Lease, bool, error) {
+	raw, err := json.Marshal(a.Lease)
+	if err != nil {
+		return upstream.Lease{}, false, err
+	}
+	r, taken, err := n.store.Replace(ctx, tableLeases, a.Group, raw, a.Lease.Version)
+	if err != nil {
+		return upstream.Lease{}, false, err
+	}
+	if taken {
+		a.Lease.Version = r.Version
+		return a.Lease, true, nil
+	}
+	l, err := decodeLease(r)
+	return l, false, err
+}
+
+func (n *Node) freeLease(ctx context.Context, a upstream.FreeLease) error {
+	version := a.Lease.Version
+	a.Lease.Holder = ""
+	raw, err := json.Marshal(a.Lease)
+	if err != nil {
+		return err
+	}
+	_, _, err = n.store.Replace(ctx, tableLeases, a.Group, raw, version)
+	return err
+}
+
+// openLane starts the lane of a group.
+func (n *Node) openLane(group string) (*traffic.Lane, error) {
+	d, err := caller.NewLane(group, n.settings.Zone, caller.WithJitter(jitter), caller.WithKind(caller.Appointed()),
+		caller.WithPolicy(caller.Quickest(n.settings.Nearness)), caller.WithViolated(n.violated))
+	if err != nil {
+		return nil, err
+	}
+	l := traffic.NewLane(n.ctx, group, n.clock, d)
+	l.Note = n.keep
+	l.Callers = n.front.Callers()
+	l.Dial = func(ctx context.Context, a caller.Open, post func(caller.Event)) (traffic.Upstream, error) {
+		u, err := platform.DialUpstream(ctx, n.front, group, n.settings.Node, a, post)
+		if err != nil {
+			n.log.Warn("connection not opened", zap.String("server", a.Server), zap.Error(err))
+		}
+		return u, err
+	}
+	go func() { _ = l.Run() }()
+	return l, nil
+}
+
+// route returns where the statements of a database go now.
+func (n *Node) route(database string) (platform.Route, bool) {
+	r := n.routes.Load()
+	v, ok := r.routes[database]
+	if !ok {
+		return platform.Route{}, false
+	}
+	n.mu.Lock()
+	l, ok := n.lanes[v.Group]
+	n.mu.Unlock()
+	if !ok {
+		return platform.Route{}, false
+	}
+	return platform.Route{Group: v.Group, Class: v.Class, Version: r.bundle.Version, Post: l.Post}, true
+}
--- /dev/null
+++ b/internal/fleet/feeds.go
@@ -0,0 +1,179 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"buckthornport.example/buckthornport/internal/control"
+	"buckthornport.example/buckthornport/internal/peer"
+	listing "buckthornport.example/buckthornport/internal/platform"
+	"buckthornport.example/buckthornport/platform"
+)
+
+const (
+	// readLimit bounds one reading of a whole table.
+	readLimit = 2 * time.Second
+	// feedRetry is the first pause after a call that failed, feedRetryMax the longest; both are spread at random, so that
+	// nodes do not return to a store all at once.
+	feedRetry    = 150 * time.Millisecond
+	feedRetryMax = 800 * time.Millisecond
+	// tableMembers holds a row for each node that ever started, under its address.
+	tableMembers = "buckthornport_members"
+)
+
+// feed is one table of the store that the node follows.
+type feed struct {
+	table string
+	// whole takes a reading of the table, change one row of it that changed.
+	whole  func(rs []platform.Row)
+	change func(r platform.Row)
+}
+
+func (n *Node) feeds() []feed {
+	return []feed{
+		{table: platform.TableConfig, whole: each(n.takeConfig), change: n.takeConfig},
+		{table: platform.TableServers, whole: n.takeEntries, change: n.takeEntry},
+		{table: tableMembers, whole: each(n.takeMember), change: n.takeMember},
+	}
+}
+
+func each(f func(r platform.Row)) func([]platform.Row) {
+	return func(rs []platform.Row) {
+		for _, r := range rs {
+			f(r)
+		}
+	}
+}
+
+// follow reads a table and then waits for its changes, and begins anew when the store has lost track of them.
+func (n *Node) follow(f feed) error {
+	if f.table == tableMembers {
+		n.register()
+	}
+	version, known, pause := uint64(0), false, feedRetry
+	for n.ctx.Err() == nil {
+		var err error
+		if !known {
+			version, err = n.readTable(f)
+		} else {
+			version, err = n.readChanges(f, version)
+		}
+		switch {
+		case err == nil:
+			if pause != feedRetry {
+				n.log.Info("store regained", zap.String("table", f.table))
+			}
+			known, pause = true, feedRetry
+		case errors.Is(err, platform.ErrHistoryGone):
+			n.log.Info("store history gone", zap.String("table", f.table), zap.Uint64("version", version))
+			known = false
+		default:
+			if pause == feedRetry {
+				n.log.Warn("store lost", zap.String("table", f.table), zap.Error(err))
+			}
+			n.sleep(pause/2 + jitter(pause/2))
+			pause = min(2*pause, feedRetryMax)
+		}
+	}
+	return n.ctx.Err()
+}
+
+func (n *Node) sleep(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-n.ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (n *Node) readTable(f feed) (uint64, error) {
+	ctx, stop := context.WithTimeout(n.ctx, readLimit)
+	defer stop()
+	rs, err := n.store.ReadAll(ctx, f.table)
+	if err != nil {
+		return 0, err
+	}
+	f.whole(rs.Rows)
+	return rs.Version, nil
+}
+
+func (n *Node) readChanges(f feed, version uint64) (uint64, error) {
+	rs, err := n.store.Feed(n.ctx, f.table, version)
+	if err != nil {
+		return version, err
+	}
+	for _, r := range rs.Rows {
+		f.change(r)
+	}
+	return max(version, rs.Version), nil
+}
+
+func (n *Node) takeConfig(r platform.Row) {
+	if r.Key == platform.KeyConfig && !r.Deleted {
+		n.thread.Post(control.BundleOffered{Encoded: r.Value, Source: "store"})
+	}
+}
+
+func (n *Node) takeEntries(rs []platform.Row) {
+	var es []listing.Entry
+	for _, r := range rs {
+		if e, ok := n.entry(r); ok {
+			es = append(es, e)
+		}
+	}
+	n.thread.Post(listing.ListRead{Entries: es})
+}
+
+func (n *Node) takeEntry(r platform.Row) {
+	if e, ok := n.entry(r); ok {
+		n.thread.Post(listing.EntryWritten{Entry: e})
+	} else {
+		n.thread.Post(listing.EntryDropped{ID: r.Key})
+	}
+}
+
+// entry decodes what a server wrote of itself; anything else names no server.
+func (n *Node) entry(r platform.Row) (listing.Entry, bool) {
+	if r.Deleted {
+		return listing.Entry{}, false
+	}
+	e, err := platform.DecodeEntry(r.Key, r.Value)
+	if err != nil {
+		n.log.Warn("entry names no server", zap.Error(err))
+		return listing.Entry{}, false
+	}
+	return e, true
+}
+
+// memberRow is what a node leaves in the store so that others find it.
+type memberRow struct {
+	Zone string `json:"zone"`
+}
+
+// register leaves word of this node under its address; the store may be away when the node starts.
+func (n *Node) register() {
+	raw, err := json.Marshal(memberRow{Zone: n.settings.Zone})
+	for pause := feedRetry; err == nil && n.ctx.Err() == nil; pause = min(2*pause, feedRetryMax) {
+		ctx, stop := context.WithTimeout(n.ctx, readLimit)
+		failed := n.store.Write(ctx, tableMembers, n.settings.Peer, raw)
+		stop()
+		if failed == nil {
+			return
+		}
+		n.log.Warn("node not registered", zap.Error(failed))
+		n.sleep(pause/2 + jitter(pause/2))
+	}
+}
+
+func (n *Node) takeMember(r platform.Row) {
+	var m memberRow
+	if err := json.Unmarshal(r.Value, &m); r.Deleted || err != nil {
+		return
+	}
+	n.thread.Post(peer.Listed{Updates: []peer.Update{{Name: r.Key, Zone: m.Zone, Address: r.Key}}})
+}
--- /dev/null
+++ b/internal/fleet/node.go
@@ -0,0 +1,189 @@
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"math/big"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"buckthornport.example/buckthornport/internal/control"
+	"buckthornport.example/buckthornport/internal/operator"
+	"buckthornport.example/buckthornport/internal/peerlink"
+	"buckthornport.example/buckthornport/internal/settings"
+	"buckthornport.example/buckthornport/internal/tick"
+	"buckthornport.example/buckthornport/internal/traffic"
+	"buckthornport.example/buckthornport/pkg/bundle"
+	"buckthornport.example/buckthornport/platform"
+)
+
+// readTimeout bounds the platform's question about readiness.
+const readTimeout = 5 * time.Second
+
+// Node is one proxy process on the platform.
+type Node struct {
+	settings settings.Fleet
+	log      *zap.Logger
+	clock    tick.Clock
+	start    time.Time
+	store    *platform.Store
+	servers  *platform.Control
+	orders   *platform.Orders
+	front    *platform.Front
+	thread   *control.Thread
+	link     *peerlink.Link
+	routes   atomic.Pointer[routing]
+	draining atomic.Bool
+	ctx      context.Context
+	stop     context.CancelFunc
+
+	mu      sync.Mutex
+	lanes   map[string]*traffic.Lane
+	members []string
+	slots   map[string]server
+	led     map[string]bool
+}
+
+// server is what the platform's list says of a server, as far as shares depend on it.
+type server struct {
+	group string
+	slots int
+}
+
+// routing is the bundle in force, indexed by database.
+type routing struct {
+	bundle bundle.Bundle
+	routes map[string]bundle.Route
+}
+
+func newRouting(b bundle.Bundle) *routing {
+	r := &routing{bundle: b, routes: make(map[string]bundle.Route, len(b.Routes))}
+	for _, v := range b.Routes {
+		r.routes[v.Database] = v
+	}
+	return r
+}
+
+// Option sets up a Node.
+type Option func(*Node) error
+
+// WithLogger replaces the logger, which is silent unless set.
+func WithLogger(l *zap.Logger) Option {
+	return func(n *Node) error {
+		n.log = l
+		return nil
+	}
+}
+
+// New returns a node that does not serve yet.
+func New(ctx context.Context, s settings.Fleet, opts ...Option) (*Node, error) {
+	n := &Node{
+		settings: s, log: zap.NewNop(), clock: tick.NewClock(), start: time.Now(), members: []string{s.Peer},
+		lanes: map[string]*traffic.Lane{}, slots: map[string]server{}, led: map[string]bool{},
+	}
+	for _, o := range opts {
+		if err := o(n); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	n.ctx, n.stop = context.WithCancel(ctx)
+	n.routes.Store(newRouting(bundle.Bundle{}))
+	n.store = platform.NewStore(s.Store)
+	n.servers = platform.NewControl(s.Node)
+	n.orders = platform.NewOrders(s.Orders, s.Node, n.mayOrder)
+	n.front = platform.NewFront(n.route)
+	n.front.Known = func() bool { return n.routes.Load().bundle.Version != 0 }
+	for _, f := range []func() error{n.makeLink, n.makeThread} {
+		if err := f(); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	return n, nil
+}
+
+func jitter(limit time.Duration) time.Duration {
+	return time.Duration(random(int(limit) + 1))
+}
+
+// random returns a number from zero up to, but not including, n.
+func random(n int) int {
+	k, err := rand.Int(rand.Reader, big.NewInt(int64(n)))
+	if err != nil {
+		return n / 2
+	}
+	return int(k.Int64())
+}
+
+// Run serves until the context ends or Drain has finished.
+func (n *Node) Run() error {
+	var g run.Group
+	for _, l := range []struct {
+		address string
+		serve   func(net.Listener) error
+	}{
+		{n.settings.Listen, n.front.Serve},
+		{n.settings.Peer, n.link.Serve},
+		{n.settings.Ready, n.serveReady},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		g.Add(func() error { return l.serve(listener) }, func(error) { _ = listener.Close() })
+	}
+	g.Add(n.thread.Run, func(error) { n.stop() })
+	for _, f := range n.feeds() {
+		g.Add(func() error { return n.follow(f) }, func(error) { n.stop() })
+	}
+	n.log.Info("start", zap.String("zone", n.settings.Zone), zap.String("listen", n.settings.Listen))
+	err := g.Run()
+	n.link.Close()
+	n.servers.Close()
+	n.log.Info("stop", zap.Error(err))
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+func (n *Node) serveReady(l net.Listener) error {
+	srv := &http.Server{Handler: platform.ReadyHandler(n.Ready), ReadTimeout: readTimeout}
+	if err := srv.Serve(l); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
+// Ready reports whether the node should get new connections: it knows its routes and has found a primary for each group.
+func (n *Node) Ready() bool {
+	if n.draining.Load() {
+		return false
+	}
+	b := n.routes.Load().bundle
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return b.Version != 0 && !slices.ContainsFunc(b.Groups, func(g bundle.Group) bool { return !n.led[g.Name] })
+}
+
+// keep puts a record of the audit trail into the log.
+func (n *Node) keep(r operator.Record) {
+	n.log.Info("audit", zap.Any("record", r))
+}
+
+func (n *Node) violated(invariant, detail string) {
+	n.log.Error("invariant violated", zap.String("invariant", invariant), zap.String("detail", detail))
+}
+
+// Stop ends the node at once.
+func (n *Node) Stop() {
+	n.stop()
+}
--- /dev/null
+++ b/internal/fleet/shares.go
@@ -0,0 +1,99 @@
+package fleet
+
+import (
+	"slices"
+
+	"go.uber.org/zap"
+
+	"buckthornport.example/buckthornport/internal/caller"
+	listing "buckthornport.example/buckthornport/internal/platform"
+	"buckthornport.example/buckthornport/internal/upstream"
+	"buckthornport.example/buckthornport/pkg/bundle"
+)
+
+const (
+	// queuedPerSlot is how many statements all nodes together may have at a server for each that it runs at once: enough to
+	// keep it busy while answers travel, and short of the queue at which it declines.
+	queuedPerSlot = 3
+	// leastSlots is a node's share of a server in a large fleet.
+	leastSlots = 2
+	// controlConns is how many connections a node keeps to a server besides those of its lane.
+	controlConns = 1
+)
+
+// adopt puts a configuration in force: statements that come from now on go by it, transactions under way end as they began.
+func (n *Node) adopt(b bundle.Bundle, _ []byte) {
+	for _, g := range b.Groups {
+		n.mu.Lock()
+		_, ok := n.lanes[g.Name]
+		n.mu.Unlock()
+		if ok {
+			continue
+		}
+		l, err := n.openLane(g.Name)
+		if err != nil {
+			n.log.Error("lane not opened", zap.String("group", g.Name), zap.Error(err))
+			continue
+		}
+		n.mu.Lock()
+		n.lanes[g.Name] = l
+		n.mu.Unlock()
+		n.thread.Post(upstream.Served{Group: g.Name, On: true})
+	}
+	n.routes.Store(newRouting(b))
+	n.limitAll()
+}
+
+// setMembers shares servers out anew among the nodes that are there.
+func (n *Node) setMembers(names []string) {
+	n.mu.Lock()
+	n.members = names
+	n.mu.Unlock()
+	n.limitAll()
+}
+
+// setServer takes note of a server that the platform lists, or no longer does.
+func (n *Node) setServer(c listing.ServerChange) {
+	n.log.Info("server", zap.String("server", c.Entry.ID), zap.String("group", c.Entry.Service),
+		zap.String("zone", c.Entry.Zone), zap.Bool("leaving", c.Entry.Leaving), zap.Bool("gone", c.Gone))
+	n.mu.Lock()
+	if c.Gone {
+		delete(n.slots, c.Entry.ID)
+	} else {
+		n.slots[c.Entry.ID] = server{group: c.Entry.Service, slots: c.Entry.Slots}
+	}
+	n.mu.Unlock()
+	if c.Gone {
+		n.servers.Forget(c.Entry.ID)
+	}
+	n.limitAll()
+}
+
+// limitAll gives each lane this node's share of each server's slots and connections.
+func (n *Node) limitAll() {
+	b := n.routes.Load().bundle
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	rank := max(0, slices.Index(n.members, n.settings.Peer))
+	for id, s := range n.slots {
+		l, ok := n.lanes[s.group]
+		g, known := b.Group(s.group)
+		if !ok || !known {
+			continue
+		}
+		l.Post(caller.Limited{
+			Server: id,
+			Slots:  max(leastSlots, share(s.slots*queuedPerSlot, len(n.members), rank)),
+			Conns:  max(1, share(g.ConnectionsPerServer, len(n.members), rank)-controlConns),
+		})
+	}
+}
+
+// share splits a total among n members, the first ones getting what does not divide.
+func share(total, n, rank int) int {
+	s := total / n
+	if rank < total%n {
+		s++
+	}
+	return s
+}
--- /dev/null
+++ b/internal/settings/fleet.go
@@ -0,0 +1,91 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+
+	"buckthornport.example/buckthornport/internal/jsonc"
+)
+
+// Fleet is what a proxy on the users' platform needs to know before it can ask anyone else.
+type Fleet struct {
+	Node   string `json:"node"`
+	Zone   string `json:"zone"`
+	Zones  []Zone `json:"zones"`
+	Listen string `json:"listen"`
+	// Ready is where the platform asks whether the node takes new connections, Peer where other nodes reach it.
+	Ready  string   `json:"ready"`
+	Peer   string   `json:"peer"`
+	Seeds  []string `json:"seeds"`
+	Status string   `json:"status"`
+	// Store is the platform's metadata store, Orders where it takes orders to promote.
+	Store    string `json:"store"`
+	Orders   string `json:"orders"`
+	GraceMS  int    `json:"grace_ms"`
+	LogLevel string `json:"log_level"`
+}
+
+// Zone is an availability zone and its region.
+type Zone struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+}
+
+// DefaultGraceMS is how long a node on the platform has from SIGTERM to its end.
+const DefaultGraceMS = 6000
+
+// ParseFleet reads the settings of a proxy on the platform; its error is a jsonc.Mistakes.
+func ParseFleet(file string, source []byte) (Fleet, error) {
+	f := Fleet{GraceMS: DefaultGraceMS, LogLevel: DefaultLogLevel}
+	t := jsonc.Decode(file, source, &f)
+	for path, v := range map[string]string{"node": f.Node, "zone": f.Zone} {
+		if v == "" {
+			t.Mistake(path, "is missing", "want a name")
+		}
+	}
+	for path, v := range map[string]string{
+		"listen": f.Listen, "ready": f.Ready, "store": f.Store, "orders": f.Orders, "peer": f.Peer,
+	} {
+		checkAddress(t, path, v, path != "orders")
+	}
+	checkAddress(t, "status", f.Status, false)
+	for i, v := range f.Seeds {
+		checkAddress(t, fmt.Sprintf("seeds[%d]", i), v, true)
+	}
+	checkChoice(t, "log_level", f.LogLevel, logLevels)
+	if f.GraceMS < 1 {
+		t.Mistake("grace_ms", "leaves no time", "want a number of milliseconds above zero")
+	}
+	return f, t.Err()
+}
+
+func checkAddress(t *jsonc.Text, path, value string, needed bool) {
+	if value == "" && !needed {
+		return
+	}
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		t.Mistake(path, fmt.Sprintf("%q is no address", value), "want IP:PORT, for example 127.0.0.1:6432")
+	}
+}
+
+// Region returns the region of a zone, or "" for a zone that is not listed.
+func (f Fleet) Region(zone string) string {
+	for _, z := range f.Zones {
+		if z.Name == zone {
+			return z.Region
+		}
+	}
+	return ""
+}
+
+// Nearness is how far a zone is: zero for the node's own, one for its region, two for others.
+func (f Fleet) Nearness(zone string) int {
+	switch {
+	case zone == f.Zone:
+		return 0
+	case f.Region(zone) == f.Region(f.Zone):
+		return 1
+	default:
+		return 2
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/base64"
 	"fmt"
-	"net/netip"
 	"slices"
 
 	"buckthornport.example/buckthornport/internal/jsonc"
@@ -48,6 +47,8 @@
 
 const minTokenKeyBytes = 16
 
+var logLevels = []string{"debug", "info", "warn", "error"}
+
 // ParseProxy reads a proxy's settings; its error is a jsonc.Mistakes.
 func ParseProxy(file string, source []byte) (Proxy, error) {
 	p := Proxy{
@@ -80,30 +81,24 @@
 		addresses[fmt.Sprintf("peers[%d].address", i)] = v.Address
 	}
 	for path, v := range addresses {
-		if _, err := netip.ParseAddrPort(v); v != "" && err != nil {
-			t.Mistake(path, fmt.Sprintf("%q is no address", v), "want IP:PORT, for example 127.0.0.1:6432")
-		}
+		checkAddress(t, path, v, false)
 	}
 }
 
 func checkChoices(t *jsonc.Text, p Proxy) {
-	choices := []struct {
-		path, value string
-		allowed     []string
-	}{
-		{"policy", p.Policy, []string{"ours", "fifo"}},
-		{"log_level", p.LogLevel, []string{"debug", "info", "warn", "error"}},
-	}
-	for _, c := range choices {
-		if !slices.Contains(c.allowed, c.value) {
-			t.Mistake(c.path, fmt.Sprintf("%q is unknown", c.value), fmt.Sprintf("want one of %v", c.allowed))
-		}
-	}
+	checkChoice(t, "policy", p.Policy, []string{"ours", "fifo"})
+	checkChoice(t, "log_level", p.LogLevel, logLevels)
 	if p.DrainMS < 0 {
 		t.Mistake("drain_ms", "is negative", "want a number of milliseconds")
 	}
 }
 
+func checkChoice(t *jsonc.Text, path, value string, allowed []string) {
+	if !slices.Contains(allowed, value) {
+		t.Mistake(path, fmt.Sprintf("%q is unknown", value), fmt.Sprintf("want one of %v", allowed))
+	}
+}
+
 func checkKeys(t *jsonc.Text, p Proxy) {
 	if key, err := base64.StdEncoding.DecodeString(p.TokenKey); err != nil || len(key) < minTokenKeyBytes {
 		t.Mistake("token_key", "is no key", "want at least 16 random bytes in base64, the same on all proxies")
--- a/internal/tick/loop.go
+++ b/internal/tick/loop.go
@@ -5,16 +5,27 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"buckthornport.example/buckthornport/internal/table"
 )
 
 // Clock returns the time since the start of the process, which never goes back.
 type Clock func() time.Duration
 
-// NewClock returns a clock that starts now.
+// NewClock returns a clock that starts now. It counts the time for which the machine is suspended, which Go's own monotonic
+// time does not: evidence and leases age all the while.
 func NewClock() Clock {
-	start := time.Now()
-	return func() time.Duration { return time.Since(start) }
+	start := sinceBoot()
+	return func() time.Duration { return sinceBoot() - start }
+}
+
+func sinceBoot() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic("this system has no clock that counts suspension: " + err.Error())
+	}
+	return time.Duration(t.Nano())
 }
 
 // Loop feeds posted events to Step and its actions to Perform, all in the goroutine that calls Run.
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -72,6 +72,7 @@
 
 // OrderResume has a server that made a promise follow its primary again.
 type OrderResume struct {
+	Group   string
 	Server  string
 	Address string
 }
@@ -168,7 +169,7 @@
 func (w *Watch) resumeAll(now time.Duration, g Group) {
 	for _, s := range w.rows(g) {
 		if s.Status.Role == RoleReplica && s.Status.Promised != 0 {
-			w.out = append(w.out, OrderResume{Server: s.Name, Address: s.Address})
+			w.out = append(w.out, OrderResume{Group: g.Name, Server: s.Name, Address: s.Address})
 			w.servers.Wake(s.Name, now+w.kind.Times.ProbeSoon)
 		}
 	}
--- a/internal/upstream/messages.go
+++ b/internal/upstream/messages.go
@@ -105,6 +105,7 @@
 
 // Probe asks a server for its status.
 type Probe struct {
+	Group   string
 	Server  string
 	Address string
 	Sent    time.Duration
@@ -113,6 +114,7 @@
 
 // AskPromise asks a server to refuse all terms below Term, for this node alone.
 type AskPromise struct {
+	Group   string
 	Server  string
 	Address string
 	Term    uint64
@@ -133,6 +135,7 @@
 
 // OrderFollow tells a server to follow the primary of Term.
 type OrderFollow struct {
+	Group   string
 	Server  string
 	Address string
 	Term    uint64
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -39,7 +39,7 @@
 		w.servers.Put(k, s.WithProbe(now))
 		w.servers.Wake(k, now+w.kind.Times.ProbeTimeout)
 		w.out = append(w.out, Probe{
-			Server: s.Name, Address: s.Address, Sent: now, Timeout: w.kind.Times.ProbeTimeout,
+			Group: s.Group, Server: s.Name, Address: s.Address, Sent: now, Timeout: w.kind.Times.ProbeTimeout,
 		})
 	}
 }
--- a/internal/upstream/promote.go
+++ b/internal/upstream/promote.go
@@ -89,7 +89,7 @@
 	w.out = append(w.out, Intend{Group: p.Group, Term: p.Term})
 	for _, s := range w.kind.Voters(e) {
 		w.out = append(w.out, AskPromise{
-			Server: s.Name, Address: s.Address, Term: p.Term, Timeout: w.kind.Times.PromiseTimeout,
+			Group: p.Group, Server: s.Name, Address: s.Address, Term: p.Term, Timeout: w.kind.Times.PromiseTimeout,
 		})
 	}
 }
--- a/internal/upstream/rows.go
+++ b/internal/upstream/rows.go
@@ -28,6 +28,8 @@
 	PrimaryAge time.Duration    `json:"primary_age_ns"`
 	LinkClosed bool             `json:"link_closed"`
 	Leaving    bool             `json:"leaving"`
+	// Lag is how far a replica is behind in applying what it has received.
+	Lag time.Duration `json:"lag_ns,omitempty"`
 }
 
 // Server is the row of one database server; times count from the start of the node.
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -30,7 +30,9 @@
 		return
 	}
 	w.servers.Put(s.Name, s.WithFollowed(now))
-	w.out = append(w.out, OrderFollow{Server: s.Name, Address: s.Address, Term: g.Term, Primary: p.Address, Timeout: w.kind.Times.OpenTimeout})
+	w.out = append(w.out, OrderFollow{
+		Group: g.Name, Server: s.Name, Address: s.Address, Term: g.Term, Primary: p.Address, Timeout: w.kind.Times.OpenTimeout,
+	})
 	w.note(operator.Record{
 		Kind: operator.KindRejoin, Group: g.Name, Server: s.Name, Term: g.Term,
 		Cause: "outside_term",
