Take evidence and heartbeats from traffic, and probe only in doubt

Answers to traffic now count as heartbeats, writes that a replica has received as evidence, and a replica is asked only when a read at the primary needs it.

--- a/internal/caller/kind.go
+++ b/internal/caller/kind.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"buckthornport.example/buckthornport/internal/upstream"
@@ -16,6 +18,8 @@
 	behindFor = 100 * time.Millisecond
 	// declinedFor is how long requests keep away from a server that declined one.
 	declinedFor = 25 * time.Millisecond
+	// hearEvery is the least time between two reports to control about one server.
+	hearEvery = 250 * time.Millisecond
 )
 
 // GroupKind is what differs between the kinds of database groups for a lane, as one concrete set of functions.
@@ -23,8 +27,13 @@
 	Name string
 	// Holds reports whether the answer to a request waits for evidence that is gathered after it.
 	Holds func(s Session, r Request) bool
-	// Leads reports whether a request may run at the primary only on evidence that it led when the request arrived.
+	// Leads reports whether the answer of the primary to a request counts only with evidence that it led when the request
+	// arrived.
 	Leads func(r Request) bool
+	// Witness names the server that can give evidence about the primary; try counts questions that failed before.
+	Witness func(v upstream.GroupView, try int) string
+	// Replicated says that a primary acknowledges a commit only when a replica has received it, which shows that it led.
+	Replicated bool
 	// Serves reports whether a server other than the primary may run a read, and the position that its answer must show.
 	Serves func(q Query, s Server) (session.Position, bool)
 	// Cancels says that servers can be asked to give up a request that runs; elsewhere its connection is closed.
@@ -39,24 +48,44 @@
 		Name:    "quorum",
 		Holds:   needsProof,
 		Leads:   func(Request) bool { return false },
+		Witness: func(v upstream.GroupView, _ int) string { return v.Primary },
 		Serves:  provenYoung,
 		Cancels: true,
 		Settles: true,
 	}
 }
 
-// Appointed is the kind of group whose primary acknowledges only what a replica has received. Its answers wait for nothing,
-// but a read at the primary needs evidence that no promotion had begun when the read arrived, and a replica is told the
-// position that it has to show.
-func Appointed() GroupKind {
+// Appointed is the kind of group whose primary acknowledges only what a replica has received. Commits wait for nothing there,
+// but what is read at the primary needs evidence that no promotion had begun when the read arrived, and a replica is told the
+// position that it has to show. Nearness is zero for the own zone, one for the own region and two for others.
+func Appointed(nearness func(zone string) int) GroupKind {
 	return GroupKind{
-		Name:   "appointed",
-		Holds:  func(Session, Request) bool { return false },
-		Leads:  func(r Request) bool { return r.Statement.Kind == KindRead || r.Statement.Kind == KindBegin },
-		Serves: coversSample,
+		Name:       "appointed",
+		Holds:      func(Session, Request) bool { return false },
+		Leads:      func(r Request) bool { return r.Statement.Kind == KindRead || r.Statement.Kind == KindBegin },
+		Witness:    func(v upstream.GroupView, try int) string { return nearestReplica(v, nearness, try) },
+		Replicated: true,
+		Serves:     coversSample,
 	}
 }
 
+// nearestReplica names a replica that answers, the nearest first and then the others in turn.
+func nearestReplica(v upstream.GroupView, nearness func(zone string) int, try int) string {
+	var rs []upstream.ServerView
+	for _, s := range v.Servers {
+		if s.Name != v.Primary && s.Alive {
+			rs = append(rs, s)
+		}
+	}
+	if len(rs) == 0 {
+		return ""
+	}
+	slices.SortStableFunc(rs, func(a, b upstream.ServerView) int {
+		return cmp.Or(cmp.Compare(nearness(a.Zone), nearness(b.Zone)), cmp.Compare(a.Name, b.Name))
+	})
+	return rs[try%len(rs)].Name
+}
+
 // provenYoung wants a replica whose applied log is proven young enough, and long enough for the session.
 func provenYoung(q Query, s Server) (session.Position, bool) {
 	v := s.View
@@ -92,7 +121,37 @@
 	l.samples = l.samples[old:]
 }
 
-// led reports whether a request that must find its primary leading may run there.
-func (l *Lane) led(r Request) bool {
-	return r.Joined != 0 || !l.kind.Leads(r) || l.view.Led(r.Arrived)
+// needsLead reports whether a request's answer from the primary has to wait for evidence that it led.
+func (l *Lane) needsLead(r Request) bool {
+	return r.Joined == 0 && l.kind.Leads(r) && !l.ledAt(r.Arrived)
+}
+
+// ledAt reports whether the primary was surely the group's leader at a moment, by control's word or this lane's own.
+func (l *Lane) ledAt(at time.Duration) bool {
+	return l.view.Led(at) || l.led != 0 && at <= l.led+l.ttl
+}
+
+// lead keeps evidence that the primary led at a moment and would do so for the evidence's lifetime.
+func (l *Lane) lead(at time.Duration) {
+	l.led = max(l.led, at)
+}
+
+// hear tells control of an answer, which saves it a probe, at most once per interval and server.
+func (l *Lane) hear(server string, sent time.Duration) {
+	row, _ := l.servers.Get(server)
+	if sent < row.Told+hearEvery {
+		return
+	}
+	l.servers.Put(server, row.WithTold(sent))
+	l.out = append(l.out, Heard{Server: server, At: sent})
+}
+
+// doubt tells control that a server did not answer as it should.
+func (l *Lane) doubt(now time.Duration, server string) {
+	row, ok := l.servers.Get(server)
+	if !ok || row.Doubted != 0 && now < row.Doubted+hearEvery {
+		return
+	}
+	l.servers.Put(server, row.WithDoubted(now))
+	l.out = append(l.out, Doubted{Server: server})
 }
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -16,6 +16,8 @@
 	policy    Policy
 	kind      GroupKind
 	samples   []upstream.Sample
+	led       time.Duration
+	witnessed int
 	sessions  *table.Table[SessionID, Session]
 	requests  *table.Table[RequestID, Request]
 	conns     *table.Table[ConnID, Conn]
@@ -281,9 +283,11 @@
 	old := l.view.Primary
 	if v.Term > l.view.Term {
 		l.samples = nil
+		l.led = 0
 	}
 	l.view = v
 	l.sample(v.Sample)
+	l.releaseLed(now)
 	l.dropRemoved(now, v)
 	for _, s := range v.Servers {
 		row, _ := l.servers.Get(s.Name)
--- a/internal/caller/messages.go
+++ b/internal/caller/messages.go
@@ -254,6 +254,19 @@
 	Record operator.Record
 }
 
+// Heard tells control that a server answered a request that was sent at At.
+type Heard struct {
+	Server string
+	At     time.Duration
+}
+
+// Doubted tells control that a server did not answer as it should.
+type Doubted struct {
+	Server string
+}
+
+func (Heard) callerAction()          {}
+func (Doubted) callerAction()        {}
 func (Open) callerAction()           {}
 func (Close) callerAction()          {}
 func (Send) callerAction()           {}
--- a/internal/caller/pool.go
+++ b/internal/caller/pool.go
@@ -53,6 +53,8 @@
 		return
 	}
 	row, _ := l.servers.Get(c.Server)
+	l.doubt(now, c.Server)
+	row, _ = l.servers.Get(c.Server)
 	row = row.WithOpening(-1).WithRetry(now + l.jitter(ConnectBackoff))
 	l.servers.Put(c.Server, row)
 	l.servers.Wake(c.Server, row.Retry)
--- a/internal/caller/proof.go
+++ b/internal/caller/proof.go
@@ -26,12 +26,12 @@
 
 // wantsProof reports whether something waits that no proof under way covers.
 func (l *Lane) wantsProof() bool {
-	if l.proofs.Len() >= maxProofs || l.view.Primary == "" {
+	if l.proofs.Len() >= maxProofs || l.view.Primary == "" || l.kind.Witness(l.view, l.witnessed) == "" {
 		return false
 	}
 	return slices.ContainsFunc(l.proving, func(id RequestID) bool {
 		r, ok := l.requests.Get(id)
-		return ok && r.Phase == PhaseProving && r.Proof == 0
+		return ok && (r.Phase == PhaseProving || r.Lead) && r.Proof == 0
 	}) || slices.ContainsFunc(l.floors, func(id SessionID) bool {
 		s, ok := l.sessions.Get(id)
 		return ok && !s.FloorKnown && s.FloorProof == 0
@@ -50,7 +50,7 @@
 	wanted := session.Position{}
 	for _, id := range l.proving {
 		r, ok := l.requests.Get(id)
-		if !ok || r.Phase != PhaseProving {
+		if !ok || r.Phase != PhaseProving && !r.Lead {
 			continue
 		}
 		if needsHeld(r) {
@@ -65,7 +65,7 @@
 			l.sessions.Put(id, s.WithFloorProof(l.lastProof))
 		}
 	}
-	row, _ := l.servers.Get(l.view.Primary)
+	row, _ := l.servers.Get(l.kind.Witness(l.view, l.witnessed))
 	l.proofs.Put(l.lastProof, proof{server: row.View.Name, sent: now})
 	l.proofs.Wake(l.lastProof, now+ProofTimeout)
 	l.stats.Proofs++
@@ -86,6 +86,11 @@
 		return
 	}
 	l.proofs.Delete(e.Proof)
+	if !l.kind.Settles {
+		l.lead(p.sent)
+		l.releaseLed(now)
+		return
+	}
 	ids := l.proving
 	l.proving = nil
 	for _, id := range ids {
@@ -101,6 +106,23 @@
 	l.floorsProven(now, e)
 }
 
+// releaseLed answers what waited for evidence that the primary led, as far as the evidence goes.
+func (l *Lane) releaseLed(now time.Duration) {
+	ids := l.proving
+	l.proving = nil
+	for _, id := range ids {
+		r, ok := l.requests.Get(id)
+		switch {
+		case !ok || r.Lead && r.Phase == PhaseRunning && l.ledAt(r.Arrived):
+		case r.Lead && r.Phase == PhaseProving && l.ledAt(r.Arrived):
+			s, _ := l.sessions.Get(r.Session)
+			l.answer(now, s, r, Replied{Position: r.Position}, true)
+		default:
+			l.proving = append(l.proving, id)
+		}
+	}
+}
+
 func (l *Lane) floorsProven(now time.Duration, e Proven) {
 	ids := l.floors
 	l.floors = nil
@@ -162,6 +184,7 @@
 		return
 	}
 	l.proofs.Delete(id)
+	l.witnessed++
 	l.proveAt = max(l.proveAt, now+ProofBackoff)
 	for _, k := range l.proving {
 		if r, ok := l.requests.Get(k); ok && r.Proof == id {
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -49,7 +49,7 @@
 
 // requeue puts a request that has to be sent again at the head of its queue.
 func (l *Lane) requeue(r Request) {
-	r = r.WithPhase(PhaseQueued)
+	r = r.WithPhase(PhaseQueued).WithoutLead()
 	l.requests.Put(r.ID, r)
 	l.requests.Wake(r.ID, r.Deadline)
 	q := l.policy.Order(r)
@@ -177,7 +177,7 @@
 		q.Servers = l.eligible(q)
 		return l.policy.Route(q)
 	}
-	if p := l.leader(); p != "" && l.led(r) {
+	if p := l.leader(); p != "" {
 		row, _ := l.servers.Get(p)
 		return []Server{row}
 	}
@@ -193,7 +193,7 @@
 func (l *Lane) query(now time.Duration, s Session, r Request) Query {
 	return Query{
 		Now: now, Zone: l.zone, Session: s, Request: r, Primary: l.leader(), Rotation: l.rotation, Samples: l.samples,
-		Led: l.view.Led,
+		Led: l.ledAt,
 	}
 }
 
@@ -204,9 +204,7 @@
 		switch {
 		case s.View.Leaving || !s.View.Alive || q.Now < s.Declined:
 		case s.View.Name == q.Primary:
-			if l.led(q.Request) {
-				ss = append(ss, s)
-			}
+			ss = append(ss, s)
 		default:
 			if _, ok := l.kind.Serves(q, s); ok {
 				ss = append(ss, s)
@@ -260,9 +258,15 @@
 		func() string { return fmt.Sprintf("request %d attempt %d", r.ID, r.Attempts+1) })
 	l.checkFloor(s, r, row)
 	r = r.WithRun(now, id, row.View.Name)
+	hold := l.kind.Holds(s, r)
+	if row.View.Name == l.view.Primary && l.needsLead(r) {
+		hold = true
+		r = r.WithLead()
+		l.proving = append(l.proving, r.ID)
+	}
 	l.requests.Put(r.ID, r)
 	l.out = append(l.out, Send{
-		Conn: id, Request: r.ID, Session: s.ID, Seq: r.Seq, Hold: l.kind.Holds(s, r), Wrap: wrap(s, r),
+		Conn: id, Request: r.ID, Session: s.ID, Seq: r.Seq, Hold: hold, Wrap: wrap(s, r),
 		Key: r.Statement.Key, Stale: s.Stale, Need: need,
 	})
 }
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -26,6 +26,9 @@
 		l.sample(upstream.Sample{At: r.Started, Position: e.Position})
 	}
 	l.servers.Put(c.Server, row)
+	if known {
+		l.hear(c.Server, r.Started)
+	}
 	if !known {
 		return
 	}
@@ -38,7 +41,16 @@
 	held := l.kind.Holds(s, r)
 	s = follow(s, c, r, e)
 	l.sessions.Put(s.ID, s)
+	if commits(r, e) && l.kind.Replicated && c.Server == l.view.Primary {
+		l.lead(r.Started)
+		l.releaseLed(now)
+	}
 	switch {
+	case r.Lead && !l.ledAt(r.Arrived):
+		l.requests.Put(r.ID, r.WithPhase(PhaseProving))
+		l.requests.Wake(r.ID, r.Deadline)
+	case r.Lead:
+		l.answer(now, s, r, e, true)
 	case e.Duplicate:
 		l.settle(now, r)
 	case held && !e.Failed && committed(r, e):
@@ -53,6 +65,14 @@
 	return r.Statement.Kind != KindCommit || e.Tag == "COMMIT"
 }
 
+// commits reports whether an answer means that a write was acknowledged.
+func commits(r Request, e Replied) bool {
+	if e.Failed {
+		return false
+	}
+	return r.Statement.Kind == KindWrite && r.Joined == 0 || r.Statement.Kind == KindCommit && committed(r, e)
+}
+
 // giveBack returns the slot, and the connection too unless a transaction goes on in it.
 func (l *Lane) giveBack(now time.Duration, c Conn, r Request, known, open bool) {
 	row, _ := l.servers.Get(c.Server)
@@ -89,9 +109,9 @@
 	if held {
 		l.out = append(l.out, Release{Session: s.ID, Seq: r.Seq, Floor: s.Floor})
 	}
-	wrote := r.Statement.Kind == KindWrite && r.Joined == 0 || r.Statement.Kind == KindCommit && committed(r, e)
+	wrote := commits(r, e)
 	l.finish(r, func(s Session) Session {
-		if wrote && !e.Failed && !l.kind.Settles {
+		if wrote && !l.kind.Settles {
 			return s.WithFloor(e.Position)
 		}
 		if r.Statement.Kind == KindRead && !e.Position.IsZero() && !s.Stale {
@@ -125,6 +145,7 @@
 		return
 	}
 	r, known := l.requests.Get(e.Request)
+	l.doubt(now, c.Server)
 	l.forgetConn(e.Conn)
 	if !known {
 		return
--- a/internal/caller/rows.go
+++ b/internal/caller/rows.go
@@ -194,6 +194,21 @@
 	Avoid string
 	// Joined is the connection of the transaction that the request belongs to.
 	Joined ConnID
+	// Lead says that the answer waits for evidence that the primary led when the request arrived.
+	Lead bool
+}
+
+// WithLead returns the row of a request whose answer waits for evidence about the primary.
+func (r Request) WithLead() Request {
+	r.Lead = true
+	return r
+}
+
+// WithoutLead returns the row of a request that is to be sent again.
+func (r Request) WithoutLead() Request {
+	r.Lead = false
+	r.Proof = 0
+	return r
 }
 
 // WithPhase returns the row in another phase.
@@ -339,6 +354,9 @@
 	// Behind is until when the server is thought to lack what reads of a stated age need, Declined until when it is spared.
 	Behind   time.Duration
 	Declined time.Duration
+	// Told and Doubted are when control was last told of an answer, and of a missing one.
+	Told    time.Duration
+	Doubted time.Duration
 	// Took is the mean time of its answers, weighted towards the latest.
 	Took time.Duration
 	// Shown is the latest position that an answer of the server has shown.
@@ -378,6 +396,18 @@
 	return s
 }
 
+// WithTold returns the row after control was told of an answer to what was sent at a moment.
+func (s Server) WithTold(at time.Duration) Server {
+	s.Told = at
+	return s
+}
+
+// WithDoubted returns the row after control was told of a missing answer.
+func (s Server) WithDoubted(now time.Duration) Server {
+	s.Doubted = now
+	return s
+}
+
 // WithTook returns the row after an answer that took so long.
 func (s Server) WithTook(d time.Duration) Server {
 	if s.Took == 0 {
--- a/internal/caller/settle.go
+++ b/internal/caller/settle.go
@@ -83,6 +83,10 @@
 		}
 		l.refuse(r, Refusal{Reason: ReasonUnknown, Key: r.Statement.Key})
 	default:
+		if r.Lead {
+			l.refuse(r, Refusal{Reason: ReasonCut, Detail: "nothing showed that the primary still leads"})
+			return
+		}
 		l.refuse(r, Refusal{Reason: ReasonUnknown, Key: r.Statement.Key})
 	}
 }
--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -28,8 +28,7 @@
 }
 
 func (n *Node) makeThread() error {
-	w, err := upstream.NewWatch(n.settings.Peer, upstream.WithKind(upstream.Appointed()), upstream.WithJitter(jitter),
-		upstream.WithNearness(n.settings.Nearness))
+	w, err := upstream.NewWatch(n.settings.Peer, upstream.WithKind(upstream.Appointed()), upstream.WithJitter(jitter))
 	if err != nil {
 		return err
 	}
@@ -153,13 +152,20 @@
 	if err != nil {
 		return err
 	}
-	_, _, err = n.store.Replace(ctx, tableLeases, a.Group, raw, version)
+	r, freed, err := n.store.Replace(ctx, tableLeases, a.Group, raw, version)
+	if err != nil || freed {
+		return err
+	}
+	if l, err := decodeLease(r); err != nil || l.Token != a.Lease.Token {
+		return err
+	}
+	_, _, err = n.store.Replace(ctx, tableLeases, a.Group, raw, r.Version)
 	return err
 }
 
 // openLane starts the lane of a group.
 func (n *Node) openLane(group string) (*traffic.Lane, error) {
-	d, err := caller.NewLane(group, n.settings.Zone, caller.WithJitter(jitter), caller.WithKind(caller.Appointed()),
+	d, err := caller.NewLane(group, n.settings.Zone, caller.WithJitter(jitter), caller.WithKind(caller.Appointed(n.settings.Nearness)),
 		caller.WithPolicy(caller.Quickest(n.settings.Nearness)), caller.WithViolated(n.violated))
 	if err != nil {
 		return nil, err
@@ -167,6 +173,9 @@
 	l := traffic.NewLane(n.ctx, group, n.clock, d)
 	l.Note = n.keep
 	l.Callers = n.front.Callers()
+	l.Hold = n.servers.Witness(group)
+	l.Heard = func(a caller.Heard) { n.thread.Post(upstream.Heard{Server: a.Server, At: a.At}) }
+	l.Doubted = func(a caller.Doubted) { n.thread.Post(upstream.Doubted{Server: a.Server}) }
 	l.Dial = func(ctx context.Context, a caller.Open, post func(caller.Event)) (traffic.Upstream, error) {
 		u, err := platform.DialUpstream(ctx, n.front, group, n.settings.Node, a, post)
 		if err != nil {
--- a/internal/traffic/lane.go
+++ b/internal/traffic/lane.go
@@ -26,6 +26,9 @@
 	Hold func(ctx context.Context, a caller.Prove) (caller.Proven, bool, error)
 	// Slots asks a server for slots.
 	Slots func(ctx context.Context, a caller.AskSlots) (caller.SlotsGranted, error)
+	// Heard and Doubted tell control of servers that answered, and of some that did not.
+	Heard   func(a caller.Heard)
+	Doubted func(a caller.Doubted)
 	// Note puts a record into the audit trail.
 	Note func(r operator.Record)
 
@@ -94,6 +97,7 @@
 func NewLane(ctx context.Context, database string, clock tick.Clock, d *caller.Lane) *Lane {
 	l := &Lane{
 		database: database, decisions: d, ctx: ctx,
+		Heard: func(caller.Heard) {}, Doubted: func(caller.Doubted) {},
 		upstreams: map[caller.ConnID]Upstream{}, dialing: map[caller.ConnID]context.CancelFunc{}, taken: -snapshotEvery,
 	}
 	l.loop = tick.NewLoop(clock, l.step, l.perform)
@@ -174,6 +178,10 @@
 		go l.prove(a)
 	case caller.AskSlots:
 		go l.askSlots(a)
+	case caller.Heard:
+		l.Heard(a)
+	case caller.Doubted:
+		l.Doubted(a)
 	case caller.Note:
 		l.Note(a.Record)
 	default:
--- a/internal/upstream/appointed.go
+++ b/internal/upstream/appointed.go
@@ -18,16 +18,17 @@
 	return Kind{
 		Name: "appointed",
 		Times: Times{
-			ProbeEvery:   100 * time.Millisecond,
-			ProbeFar:     500 * time.Millisecond,
-			ProbeSoon:    100 * time.Millisecond,
+			// Traffic shows most servers alive; probes go to those from which nothing was heard for so long.
+			ProbeEvery:   500 * time.Millisecond,
+			ProbeFar:     1500 * time.Millisecond,
+			ProbeSoon:    150 * time.Millisecond,
 			ProbeTimeout: time.Second,
-			DoubtAfter:   time.Second,
-			FreshFor:     1500 * time.Millisecond,
-			AliveFor:     2500 * time.Millisecond,
+			DoubtAfter:   300 * time.Millisecond,
+			FreshFor:     2 * time.Second,
+			AliveFor:     3 * time.Second,
 			// Silence is above the time that a status question may wait behind other work at a busy server.
 			Silence: 1200 * time.Millisecond,
-			// EvidenceTTL is the probe interval of the closest replica, a slow answer and one lost answer.
+			// EvidenceTTL covers a question to the closest replica and a few requests after it.
 			EvidenceTTL: 250 * time.Millisecond,
 			// OpensAfter is less than the some hundred milliseconds that the platform takes to appoint a primary.
 			OpensAfter:     200 * time.Millisecond,
@@ -75,7 +76,7 @@
 // hasSuccessor reports whether some replica answers and stays.
 func (e Evidence) hasSuccessor() bool {
 	return slices.ContainsFunc(replicasOf(e), func(s Server) bool {
-		return s.Fresh(e.Now, e.Times.FreshFor) && !s.Leaves()
+		return s.Fresh(e.Now, e.Times.FreshFor) && !s.Leaves() && s.Status.Position.Covers(e.Group.Floor)
 	})
 }
 
@@ -93,7 +94,7 @@
 	})
 }
 
-// allFenced needs the promise of every replica.
+// allFenced needs the promise of every replica, and offers those that hold what the last promotion took over.
 func allFenced(e Evidence, ps []Promise, _ bool) []Promise {
 	voters := replicasOf(e)
 	for _, s := range voters {
@@ -102,7 +103,7 @@
 		}
 	}
 	return slices.DeleteFunc(slices.Clone(ps), func(p Promise) bool {
-		return !slices.ContainsFunc(voters, func(s Server) bool { return s.Name == p.Server })
+		return !p.Position.Covers(e.Group.Floor) || !slices.ContainsFunc(voters, func(s Server) bool { return s.Name == p.Server })
 	})
 }
 
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"buckthornport.example/buckthornport/internal/operator"
+	"buckthornport.example/buckthornport/pkg/session"
 )
 
 const (
@@ -14,6 +16,8 @@
 	LeaseSettle = 1500 * time.Millisecond
 	// LeaseMargin is the part of a lease's term that is not used, for the way to the platform.
 	LeaseMargin = 500 * time.Millisecond
+	// noSuccessorPause is how long a group without anybody to promote is left alone, so that a replica can catch up.
+	noSuccessorPause = 600 * time.Millisecond
 	// leaseTimeout bounds the wait for one answer of the store about a lease.
 	leaseTimeout = 1500 * time.Millisecond
 )
@@ -21,9 +25,11 @@
 // Lease is a node's right to order changes of primary in one group, under a fencing token that only grows. Version is that of the row
 // in the store, zero for none, and an empty holder stands for a lease that was given back.
 type Lease struct {
-	Token   uint64 `json:"token"`
-	Holder  string `json:"holder"`
-	Version uint64 `json:"-"`
+	Token  uint64 `json:"token"`
+	Holder string `json:"holder"`
+	// Floor is the least position that the next primary must hold: the log that the last promotion chose ended there.
+	Floor   session.Position `json:"floor"`
+	Version uint64           `json:"-"`
 	// Until is the end of the holder's right on its own clock, zero for a lease that is not held here.
 	Until time.Duration `json:"-"`
 }
@@ -40,6 +46,12 @@
 	return c
 }
 
+// WithFloor returns the lease that records a position before the order to open.
+func (c Lease) WithFloor(p session.Position) Lease {
+	c.Floor = c.Floor.Max(p)
+	return c
+}
+
 // WithUntil returns the lease as held here until a moment.
 func (c Lease) WithUntil(at time.Duration) Lease {
 	c.Until = at
@@ -118,7 +130,14 @@
 		w.leases.Put(e.Group, s)
 		w.leases.TakeDirty()
 	}
+	if g, ok := w.groups.Get(e.Group); ok {
+		w.groups.Put(e.Group, g.WithFloor(e.Lease.Floor))
+	}
 	p, ok := w.promotions.Get(e.Group)
+	if ok && p.Stage == StageRecording {
+		w.recordAgain(now, p, e.Lease)
+		return
+	}
 	if !ok || p.Stage != StageLeasing {
 		return
 	}
@@ -133,10 +152,27 @@
 	w.out = append(w.out, TakeLease{Group: e.Group, Lease: e.Lease.WithHolder(w.node), Sent: now})
 }
 
+// recordAgain repeats a record that missed the row's version, while the lease is still this node's.
+func (w *Watch) recordAgain(now time.Duration, p Promotion, l Lease) {
+	best := slices.IndexFunc(p.Promises, func(v Promise) bool { return v.Server == p.Chosen })
+	if l.Holder != w.node || l.Token != p.Lease.Token || best < 0 || !p.Lease.Valid(now) {
+		w.retry(now, p)
+		return
+	}
+	w.out = append(w.out, TakeLease{
+		Group: p.Group, Lease: l.WithHolder(w.node).WithFloor(p.Promises[best].Position), Sent: now,
+	})
+}
+
 // leaseTaken goes on with a promotion, unless its reason has passed or most of the term was spent on the way.
 func (w *Watch) leaseTaken(now time.Duration, e LeaseTaken) {
 	c := e.Lease.WithUntil(e.Sent + LeaseTerm - LeaseMargin)
 	p, ok := w.promotions.Get(e.Group)
+	if ok && p.Stage == StageRecording && p.Chosen != "" && c.Valid(now) {
+		p.Lease = c
+		w.order(now, p)
+		return
+	}
 	if !ok || p.Stage != StageLeasing || !c.Valid(now) {
 		w.release(Promotion{Group: e.Group, Lease: c})
 		return
@@ -176,11 +212,22 @@
 }
 
 func (w *Watch) leaseFailed(now time.Duration, e LeaseFailed) {
-	if p, ok := w.promotions.Get(e.Group); ok && p.Stage == StageLeasing {
+	if p, ok := w.promotions.Get(e.Group); ok && (p.Stage == StageLeasing || p.Stage == StageRecording) {
 		w.retry(now, p)
 	}
 }
 
+// giveUp ends a promotion that found nobody to promote: the replicas go on following, and the lease is free for others.
+func (w *Watch) giveUp(now time.Duration, g Group, p Promotion) {
+	w.note(operator.Record{Kind: operator.KindPromotion, Group: p.Group, Term: p.Term, Cause: "no_successor"}.
+		WithEvidence("floor", g.Floor.String()).WithEvidence("promises", fmt.Sprint(p.Promises)))
+	w.resumeAll(now, g)
+	w.release(p)
+	p = p.WithRetry(now + noSuccessorPause)
+	p.Lease = Lease{}
+	w.schedule(p)
+}
+
 // release gives a promotion's lease back, if it holds one.
 func (w *Watch) release(p Promotion) {
 	if p.Lease.Until != 0 {
--- a/internal/upstream/messages.go
+++ b/internal/upstream/messages.go
@@ -49,6 +49,17 @@
 	Accepted bool `json:"accepted,omitempty"`
 }
 
+// Heard says that a server answered a request of this node's traffic which was sent at At.
+type Heard struct {
+	Server string
+	At     time.Duration
+}
+
+// Doubted says that traffic met a server that did not answer as it should, so that it is worth a probe at once.
+type Doubted struct {
+	Server string
+}
+
 // Learned is a route that a peer or the platform's store reported.
 type Learned struct {
 	Group   string
@@ -99,6 +110,8 @@
 func (Peers) upstreamEvent()       {}
 func (Served) upstreamEvent()      {}
 func (Removed) upstreamEvent()     {}
+func (Heard) upstreamEvent()       {}
+func (Doubted) upstreamEvent()     {}
 
 // Action is something that a node is to do about upstreams.
 type Action interface{ upstreamAction() }
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -9,6 +9,11 @@
 		if g, _ := w.groups.Get(s.Group); !g.Watched {
 			continue
 		}
+		if s.Probing && s.Doubt == 0 && now-s.Sent >= w.kind.Times.DoubtAfter && s.Heard < s.Sent {
+			s = s.WithDoubt(now)
+			w.servers.Put(k, s)
+			w.hurry(now, s.Group)
+		}
 		if s.Probing && now-s.Sent >= w.kind.Times.ProbeTimeout {
 			s = s.WithTimeout()
 			w.servers.Put(k, s)
@@ -19,13 +24,15 @@
 }
 
 func (w *Watch) nextProbe(now time.Duration, s Server) time.Duration {
-	if s.Probing {
+	switch {
+	case s.Probing && s.Doubt == 0 && now < s.Sent+w.kind.Times.DoubtAfter:
+		return s.Sent + w.kind.Times.DoubtAfter
+	case s.Probing:
 		return s.Sent + w.kind.Times.ProbeTimeout
-	}
-	if s.Sent == 0 {
+	case s.Sent == 0:
 		return now
 	}
-	return max(now, s.Sent+w.interval(s))
+	return max(now, max(s.Sent, s.Heard)+w.interval(s))
 }
 
 // sendProbes asks each server that is due for its status.
@@ -33,11 +40,12 @@
 	for _, k := range w.servers.TakeDue(now) {
 		s, _ := w.servers.Get(k)
 		if s.Probing {
-			w.servers.Wake(k, s.Sent+w.kind.Times.ProbeTimeout)
+			w.servers.Wake(k, w.nextProbe(now, s))
 			continue
 		}
-		w.servers.Put(k, s.WithProbe(now))
-		w.servers.Wake(k, now+w.kind.Times.ProbeTimeout)
+		s = s.WithProbe(now)
+		w.servers.Put(k, s)
+		w.servers.Wake(k, w.nextProbe(now, s))
 		w.out = append(w.out, Probe{
 			Group: s.Group, Server: s.Name, Address: s.Address, Sent: now, Timeout: w.kind.Times.ProbeTimeout,
 		})
--- a/internal/upstream/promote.go
+++ b/internal/upstream/promote.go
@@ -35,12 +35,20 @@
 		}
 		p = Promotion{Group: g.Name, Timeline: Timeline{Missed: missed, Detected: now}}
 		w.schedule(p.WithStage(StageBackoff, now+time.Duration(w.rank(g.Name))*w.kind.Times.RankDelay))
-	case !g.Suspect && running && p.Stage == StageBackoff:
-		w.promotions.Delete(g.Name)
-		w.release(p)
+	case !g.Suspect && running && (p.Stage == StageBackoff || w.kind.Leases && p.Stage != StageOpening):
+		w.abandon(now, g, p)
 	}
 }
 
+// abandon drops a promotion whose reason has passed before anybody was ordered to open.
+func (w *Watch) abandon(now time.Duration, g Group, p Promotion) {
+	w.promotions.Delete(g.Name)
+	if p.Lease.Valid(now) {
+		w.resumeAll(now, g)
+	}
+	w.release(p)
+}
+
 func (w *Watch) schedule(p Promotion) {
 	w.promotions.Put(p.Group, p)
 	w.promotions.Wake(p.Group, p.Due)
@@ -50,7 +58,7 @@
 	switch p.Stage {
 	case StageBackoff:
 		w.begin(now, p)
-	case StageLeasing:
+	case StageLeasing, StageRecording:
 		w.retry(now, p)
 	case StagePromising:
 		w.endPromising(now, p)
@@ -66,8 +74,7 @@
 	g, _ := w.groups.Get(p.Group)
 	switch {
 	case !g.Suspect:
-		w.promotions.Delete(p.Group)
-		w.release(p)
+		w.abandon(now, g, p)
 	case g.Cause != CauseUnfinished && g.Unmended != 0 && now-g.Unmended < w.kind.Times.PromiseGrace:
 		w.schedule(p.WithStage(StageBackoff, g.Unmended+w.kind.Times.PromiseGrace))
 	case w.kind.Leases && !p.Lease.Valid(now):
@@ -128,35 +135,75 @@
 func (w *Watch) endPromising(now time.Duration, p Promotion) {
 	g, _ := w.groups.Get(p.Group)
 	if len(w.kind.Fenced(w.evidence(now, g), p.Promises, true)) == 0 {
-		w.retry(now, p)
+		w.fail(now, g, p)
 		return
 	}
 	w.schedule(p.WithFence(now, w.kind.Times.fenceWait()))
 }
 
+// fail ends an attempt that found nobody to promote.
+func (w *Watch) fail(now time.Duration, g Group, p Promotion) {
+	if w.kind.Leases {
+		w.giveUp(now, g, p)
+	} else {
+		w.retry(now, p)
+	}
+}
+
 // open orders the promised server with the longest log to take over. A group that was given another server meanwhile is no
 // longer fenced.
 func (w *Watch) open(now time.Duration, p Promotion) {
 	g, _ := w.groups.Get(p.Group)
 	e := w.evidence(now, g)
 	ps := w.kind.Fenced(e, p.Promises, true)
-	if len(ps) == 0 || w.kind.Leases && !p.Lease.Valid(now) {
+	switch {
+	case w.kind.Leases && !p.Lease.Valid(now):
 		w.retry(now, p)
 		return
+	case len(ps) == 0:
+		w.fail(now, g, p)
+		return
 	}
 	best := slices.MaxFunc(ps, func(a, b Promise) int {
 		return cmp.Or(a.Position.Compare(b.Position), w.kind.Prefer(e, a, b))
 	})
+	w.noteOrder(e, p, best)
+	p = p.WithChosen(best.Server)
+	if !w.kind.Leases {
+		w.order(now, p)
+		return
+	}
+	w.schedule(p.WithStage(StageRecording, now+leaseTimeout))
+	w.out = append(w.out, TakeLease{
+		Group: p.Group, Lease: p.Lease.WithHolder(w.node).WithFloor(best.Position), Sent: now,
+	})
+}
+
+// order has the chosen server open.
+func (w *Watch) order(now time.Duration, p Promotion) {
 	t := p.Timeline
 	t.Ordered = now
-	w.schedule(p.WithChosen(best.Server).WithTimeline(t).WithStage(StageOpening, now+w.kind.Times.OpenTimeout))
-	s, _ := w.servers.Get(best.Server)
+	w.schedule(p.WithTimeline(t).WithStage(StageOpening, now+w.kind.Times.OpenTimeout))
+	s, _ := w.servers.Get(p.Chosen)
 	w.out = append(w.out, OrderPromote{
 		Group: p.Group, Server: s.Name, Address: s.Address, Term: p.Term, Token: p.Lease.Token, Until: p.Lease.Until,
 		Timeout: w.kind.Times.OpenTimeout,
 	})
 }
 
+// noteOrder records what a choice was made from.
+func (w *Watch) noteOrder(e Evidence, p Promotion, best Promise) {
+	r := operator.Record{Kind: operator.KindPromotion, Group: p.Group, Server: best.Server, Term: p.Term, Cause: "ordered"}.
+		WithEvidence("token", fmt.Sprint(p.Lease.Token))
+	for _, s := range e.Servers {
+		r = r.WithEvidence("last_"+s.Name, fmt.Sprintf("%s %s leaving %t", s.Status.Role, s.Status.Position, s.Leaves()))
+	}
+	for _, v := range p.Promises {
+		r = r.WithEvidence("promise_"+v.Server, v.Position.String())
+	}
+	w.note(r)
+}
+
 // applyPromoted takes the answer to an order to open; a server that opens only later shows so in its status.
 func (w *Watch) applyPromoted(now time.Duration, e Promoted) {
 	s, ok := w.servers.Get(e.Server)
--- a/internal/upstream/rows.go
+++ b/internal/upstream/rows.go
@@ -32,6 +32,9 @@
 	Lag time.Duration `json:"lag_ns,omitempty"`
 }
 
+// advanceWindow is the longest time between two probes whose positions tell when a server received something.
+const advanceWindow = 500 * time.Millisecond
+
 // Server is the row of one database server; times count from the start of the node.
 type Server struct {
 	Name      string
@@ -47,6 +50,10 @@
 	FirstMiss time.Duration
 	Followed  time.Duration
 	Born      int64
+	// Doubt is since when the server owes an answer for longer than usual, zero while it does not.
+	Doubt time.Duration
+	// Asked is when the probe left that brought Status.
+	Asked time.Duration
 	// Advanced is when the server was last seen to hold more of the log than before.
 	Advanced time.Duration
 	// Leaving is what the bundle says, Listed what the platform's list of VMs says.
@@ -65,16 +72,32 @@
 func (s Server) WithStatus(sent time.Duration, st Status) Server {
 	s.Probing = false
 	s.Known = true
-	s.Heard = sent
-	s.Refusals = 0
-	s.FirstMiss = 0
-	if st.Position.Compare(s.Status.Position) > 0 {
+	if st.Position.Compare(s.Status.Position) > 0 && sent-s.Asked <= advanceWindow {
 		s.Advanced = sent
 	}
+	s = s.WithHeard(max(s.Heard, sent))
+	s.Asked = sent
 	s.Status = st
 	return s
 }
 
+// WithHeard returns the row after an answer to traffic that was sent at a moment.
+func (s Server) WithHeard(at time.Duration) Server {
+	s.Heard = at
+	s.Refusals = 0
+	s.FirstMiss = 0
+	s.Doubt = 0
+	return s
+}
+
+// WithDoubt returns the row of a server that owes an answer since a moment.
+func (s Server) WithDoubt(since time.Duration) Server {
+	if s.Doubt == 0 {
+		s.Doubt = since
+	}
+	return s
+}
+
 // WithRefusal returns the row after a probe that met a closed door, which a silent path never gives.
 func (s Server) WithRefusal(now time.Duration) Server {
 	s.Probing = false
@@ -149,9 +172,16 @@
 	LedAt time.Duration
 	// Headless is since when no server has shown itself as primary, zero while one does.
 	Headless time.Duration
-	// Stuck is since when the primary holds more than any replica while none has received beyond StuckAt.
-	Stuck   time.Duration
-	StuckAt session.Position
+	// Stuck is since when no replica has received what the primary held, zero while one has.
+	Stuck time.Duration
+	// Floor is the least position that a new primary must hold, as the last promotion recorded it.
+	Floor session.Position
+}
+
+// WithFloor returns the row whose next primary must hold at least a position.
+func (g Group) WithFloor(p session.Position) Group {
+	g.Floor = g.Floor.Max(p)
+	return g
 }
 
 // WithHeadless returns the row without a primary that shows itself since a moment, or zero for none.
@@ -160,10 +190,9 @@
 	return g
 }
 
-// WithStuck returns the row with replicas that stand at a position since a moment, or zero for none.
-func (g Group) WithStuck(since time.Duration, at session.Position) Group {
+// WithStuck returns the row with replicas that receive nothing since a moment, or zero for none.
+func (g Group) WithStuck(since time.Duration) Group {
 	g.Stuck = since
-	g.StuckAt = at
 	return g
 }
 
@@ -208,6 +237,8 @@
 	g.Primary = primary
 	g.Forks = slices.Clone(fs)
 	g.LedAt = 0
+	g.Headless = 0
+	g.Stuck = 0
 	g.Samples = nil
 	return g.WithoutSuspicion()
 }
@@ -271,6 +302,8 @@
 	StageBackoff   Stage = "backoff"
 	// StageLeasing waits for the platform's store to say who may order changes of primary.
 	StageLeasing Stage = "leasing"
+	// StageRecording waits until the store holds what the chosen server's log must hold on to.
+	StageRecording Stage = "recording"
 )
 
 // Promotion is the row of one attempt to replace a primary.
--- a/internal/upstream/suspect.go
+++ b/internal/upstream/suspect.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"buckthornport.example/buckthornport/internal/operator"
-	"buckthornport.example/buckthornport/pkg/session"
 )
 
 // The causes for which a primary is replaced.
@@ -70,7 +69,7 @@
 func (w *Watch) weighPrimary(now time.Duration, g Group) Group {
 	p, ok := w.servers.Get(g.Primary)
 	switch {
-	case ok && p.Known && p.Status.Role == RolePrimary && now-p.Heard < w.kind.Times.ProbeFar:
+	case ok && p.Known && p.Status.Role == RolePrimary && now-p.Heard < w.kind.Times.ProbeEvery:
 		return g.WithHeadless(0)
 	case g.Headless != 0:
 		return g
@@ -81,20 +80,30 @@
 	}
 }
 
-// weighReplicas keeps the moment since which no replica has received what the primary already holds.
+// weighReplicas keeps the moment since which no replica has received what the primary already held when it was asked before
+// them.
 func (w *Watch) weighReplicas(now time.Duration, g Group) Group {
 	p, ok := w.servers.Get(g.Primary)
-	var most session.Position
+	if !ok || !p.Known || p.Status.Role != RolePrimary {
+		return g.WithStuck(0)
+	}
+	later, behind := 0, 0
 	for _, s := range w.rows(g) {
-		if s.Name != g.Primary && s.Known {
-			most = most.Max(s.Status.Position)
+		if s.Name == g.Primary || !s.Known || s.Asked <= p.Asked {
+			continue
+		}
+		later++
+		if !s.Status.Position.Covers(p.Status.Position) {
+			behind++
 		}
 	}
 	switch {
-	case !ok || !p.Known || most.Covers(p.Status.Position):
-		return g.WithStuck(0, session.Position{})
-	case g.Stuck == 0 || most.Compare(g.StuckAt) > 0:
-		return g.WithStuck(now, most)
+	case later == 0:
+		return g
+	case behind < later:
+		return g.WithStuck(0)
+	case g.Stuck == 0:
+		return g.WithStuck(now)
 	default:
 		return g
 	}
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -23,7 +23,6 @@
 	out        []Action
 	jitter     func(limit time.Duration) time.Duration
 	kind       Kind
-	nearness   func(zone string) int
 	systems    []system
 }
 
@@ -67,14 +66,6 @@
 	}
 }
 
-// WithNearness tells how far a zone is: zero for the node's own, one for its region, more for others.
-func WithNearness(f func(zone string) int) Option {
-	return func(w *Watch) error {
-		w.nearness = f
-		return nil
-	}
-}
-
 // WithJudge replaces the decision whether a primary has failed.
 func WithJudge(f func(e Evidence) string) Option {
 	return func(w *Watch) error {
@@ -110,7 +101,6 @@
 		stale:      map[string]bool{},
 		jitter:     func(limit time.Duration) time.Duration { return limit / 2 },
 		kind:       Quorum(),
-		nearness:   func(string) int { return 0 },
 	}
 	w.systems = []system{
 		{"timeouts", expireProbes},
@@ -179,6 +169,10 @@
 		}
 	case Configured:
 		w.configure(now, e)
+	case Heard:
+		w.hear(e)
+	case Doubted:
+		w.doubt(now, e.Server)
 	case Removed:
 		w.remove(now, e.Server)
 	case LeaseRead:
@@ -236,6 +230,22 @@
 	w.servers.Wake(e.Server, now)
 }
 
+// hear takes an answer to traffic for a sign of life, which saves a probe.
+func (w *Watch) hear(e Heard) {
+	if s, ok := w.servers.Get(e.Server); ok && s.Known && e.At > s.Heard {
+		w.servers.Put(e.Server, s.WithHeard(e.At))
+	}
+}
+
+// doubt probes a server now, and the others of its group soon.
+func (w *Watch) doubt(now time.Duration, server string) {
+	if s, ok := w.servers.Get(server); ok && !s.Probing {
+		w.servers.Wake(server, max(now, s.Sent+w.kind.Times.ProbeSoon))
+		w.servers.Put(server, s.WithDoubt(now))
+		w.hurry(now, s.Group)
+	}
+}
+
 // reborn drops what a server said in an earlier life, above all its promise.
 func (w *Watch) reborn(s Server) {
 	w.note(operator.Record{Kind: operator.KindMember, Group: s.Group, Server: s.Name, Cause: "restarted"})
@@ -254,18 +264,22 @@
 	w.note(operator.Record{Kind: operator.KindLeaving, Group: s.Group, Server: server, Term: g.Term, Cause: "gone"}.
 		WithEvidence("led", fmt.Sprint(g.Primary == server)))
 	w.servers.Delete(server)
+	if g.Primary != server && w.kind.Leases {
+		// What a replica had received may have been acknowledged on its word alone.
+		g = g.WithFloor(s.Status.Position)
+	}
 	w.groups.Put(s.Group, g.WithoutServer(server))
 	w.hurry(now, s.Group)
 }
 
 func (w *Watch) applyStatus(now time.Duration, e Probed) {
 	s, ok := w.servers.Get(e.Server)
-	if !ok || e.Sent < s.Heard {
+	if !ok || e.Sent < s.Asked {
 		return
 	}
 	s = s.WithStatus(e.Sent, e.Status)
 	w.servers.Put(e.Server, s)
-	w.servers.Wake(e.Server, max(now, s.Sent+w.interval(s)))
+	w.servers.Wake(e.Server, w.nextProbe(now, s))
 	w.takeStatus(now, s)
 }
 
@@ -282,7 +296,7 @@
 		return
 	}
 	g = g.WithForks(st.Forks)
-	at := s.Heard - st.QuorumAge
+	at := s.Asked - st.QuorumAge
 	if n := len(g.Samples); n == 0 || g.Samples[n-1].At < at {
 		g = g.WithSample(Sample{At: at, Position: st.Position})
 	}
@@ -292,7 +306,7 @@
 // takeLead keeps a replica's word that its group's primary had not been replaced when the probe left.
 func (w *Watch) takeLead(s Server) {
 	if g, _ := w.groups.Get(s.Group); w.kind.Leads(g, s) {
-		w.groups.Put(s.Group, g.WithLed(s.Heard))
+		w.groups.Put(s.Group, g.WithLed(s.Asked))
 	}
 }
 
@@ -345,36 +359,21 @@
 // interval returns the time between probes of a server, shorter while its group is in doubt.
 func (w *Watch) interval(s Server) time.Duration {
 	g, _ := w.groups.Get(s.Group)
-	if _, ok := w.promotions.Get(s.Group); ok || g.Suspect {
+	if _, ok := w.promotions.Get(s.Group); ok || g.Suspect || g.Stuck != 0 && w.kind.Leases {
 		return w.kind.Times.ProbeSoon
 	}
-	if p, ok := w.servers.Get(g.Primary); ok && p.FirstMiss != 0 {
+	if p, ok := w.servers.Get(g.Primary); ok && (p.FirstMiss != 0 || p.Doubt != 0) {
 		return w.kind.Times.ProbeSoon
 	}
 	st := s.Status
 	if st.PrimaryAge > w.kind.Times.DoubtAfter || st.QuorumAge > w.kind.Times.DoubtAfter || st.LinkClosed || st.Promised > g.Term {
 		return w.kind.Times.ProbeSoon
 	}
-	if w.closest(g) == s.Name || s.Name == g.Primary && w.nearness(s.Zone) == 0 {
+	if s.Name == g.Primary {
 		return w.kind.Times.ProbeEvery
 	}
 	return w.kind.Times.ProbeFar
 }
-
-// closest names the replica that is watched most closely for evidence about its primary, the nearest one that answers.
-func (w *Watch) closest(g Group) string {
-	best, far := "", 0
-	for _, s := range w.rows(g) {
-		if s.Name == g.Primary || !s.Known || s.FirstMiss != 0 {
-			continue
-		}
-		if d := w.nearness(s.Zone); best == "" || d < far {
-			best, far = s.Name, d
-		}
-	}
-	return best
-}
-
 func (w *Watch) note(r operator.Record) {
 	w.out = append(w.out, Note{Record: r})
 }
