--- a/cmd/buckthornport-fleet/main.go
+++ b/cmd/buckthornport-fleet/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/gravitational/trace"
@@ -24,6 +25,8 @@
 	gcPercent = 40
 	// memoryTarget is the heap above which the collector works harder, in bytes.
 	memoryTarget = 24 << 20
+	// settingsEvery is the time between looks at the settings file, which may change without a signal.
+	settingsEvery = 10 * time.Second
 )
 
 type cli struct {
@@ -51,15 +54,20 @@
 	if err != nil || c.Check {
 		return err
 	}
-	log, err := newLogger(s.LogLevel)
+	level, err := zap.ParseAtomicLevel(s.LogLevel)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	n, err := fleet.New(context.Background(), s, fleet.WithLogger(log.With(zap.String("node", s.Node))))
+	log, err := newLogger(level)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	n, err := fleet.New(context.Background(), s, fleet.WithLogger(log.With(zap.String("node", s.Node)), level))
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	go drainOnSignal(n)
+	go c.reloadOnSignal(n)
 	return n.Run()
 }
 
@@ -73,12 +81,28 @@
 	n.Stop()
 }
 
+// reloadOnSignal reads the settings again on SIGHUP, and when the file has changed without one.
+func (c cli) reloadOnSignal(n *fleet.Node) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	look := time.NewTicker(settingsEvery)
+	for {
+		select {
+		case <-hup:
+		case <-look.C:
+		}
+		source, err := os.ReadFile(c.Settings)
+		if err == nil {
+			err = n.Reload(c.Settings, source)
+		}
+		n.Reloaded(err)
+	}
+}
+
 // newLogger returns a logger that writes JSON lines to standard output.
-func newLogger(level string) (*zap.Logger, error) {
+func newLogger(level zap.AtomicLevel) (*zap.Logger, error) {
 	cfg := zap.NewProductionConfig()
-	if err := cfg.Level.UnmarshalText([]byte(level)); err != nil {
-		return nil, err
-	}
+	cfg.Level = level
 	cfg.Sampling = nil
 	cfg.DisableStacktrace = true
 	cfg.DisableCaller = true
--- a/internal/caller/kind.go
+++ b/internal/caller/kind.go
@@ -38,6 +38,8 @@
 	Serves func(q Query, s Server) (session.Position, bool)
 	// Cancels says that servers can be asked to give up a request that runs; elsewhere its connection is closed.
 	Cancels bool
+	// RepeatsBegin says that a transaction's beginning may be sent again when its answer was lost.
+	RepeatsBegin bool
 	// Settles says that the outcome of a lost answer can be found out by its key.
 	Settles bool
 }
@@ -52,6 +54,8 @@
 		Serves:  provenYoung,
 		Cancels: true,
 		Settles: true,
+
+		RepeatsBegin: true,
 	}
 }
 
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -284,6 +284,7 @@
 	if v.Term > l.view.Term {
 		l.samples = nil
 		l.led = 0
+		l.retryLed()
 	}
 	l.view = v
 	l.sample(v.Sample)
--- a/internal/caller/proof.go
+++ b/internal/caller/proof.go
@@ -81,7 +81,7 @@
 		l.stats.StrayMessages++
 		return
 	}
-	if now-p.sent > l.ttl || e.Term < l.view.Term {
+	if now-p.sent > l.ttl && l.kind.Settles || e.Term < l.view.Term || e.Term > l.view.Term && !l.kind.Settles {
 		l.proofFailed(now, e.Proof)
 		return
 	}
@@ -123,6 +123,25 @@
 	}
 }
 
+// retryLed sends again what a replaced primary answered and nobody vouched for.
+func (l *Lane) retryLed() {
+	ids := l.proving
+	l.proving = nil
+	for _, id := range ids {
+		r, ok := l.requests.Get(id)
+		switch {
+		case !ok || r.Lead && r.Phase == PhaseRunning:
+		case r.Lead && r.Statement.Kind == KindRead:
+			r.Avoid = r.Server
+			l.requeue(r)
+		case r.Lead:
+			l.refuse(r, Refusal{Reason: ReasonRolledBack, Retry: retryHint})
+		default:
+			l.proving = append(l.proving, id)
+		}
+	}
+}
+
 func (l *Lane) floorsProven(now time.Duration, e Proven) {
 	ids := l.floors
 	l.floors = nil
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -192,7 +192,7 @@
 	switch {
 	case e.Unsent:
 		l.requeue(r.WithUnsent())
-	case r.Statement.Kind == KindBegin:
+	case r.Statement.Kind == KindBegin && l.kind.RepeatsBegin:
 		l.requeue(r.WithDeclined(r.Server))
 	case r.Statement.Kind == KindRead:
 		l.retryRead(r.WithoutConn(), e)
--- a/internal/fleet/drain.go
+++ b/internal/fleet/drain.go
@@ -20,7 +20,7 @@
 func (n *Node) Drain() {
 	n.draining.Store(true)
 	n.thread.Post(peer.LeaveBegun{})
-	grace := time.Duration(n.settings.GraceMS) * time.Millisecond
+	grace := time.Duration(n.grace.Load()) * time.Millisecond
 	begun := n.clock()
 	n.log.Info("drain", zap.Int("sessions", n.front.Open()), zap.Duration("grace", grace))
 	spread := begun + time.Duration(drainSpread*float64(grace))
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -33,6 +33,7 @@
 type Node struct {
 	settings settings.Fleet
 	log      *zap.Logger
+	level    zap.AtomicLevel
 	clock    tick.Clock
 	start    time.Time
 	store    *platform.Store
@@ -43,6 +44,7 @@
 	link     *peerlink.Link
 	routes   atomic.Pointer[routing]
 	draining atomic.Bool
+	grace    atomic.Int64
 	ctx      context.Context
 	stop     context.CancelFunc
 
@@ -76,10 +78,11 @@
 // Option sets up a Node.
 type Option func(*Node) error
 
-// WithLogger replaces the logger, which is silent unless set.
-func WithLogger(l *zap.Logger) Option {
+// WithLogger replaces the logger, which is silent unless set, and names the level that a reload may change.
+func WithLogger(l *zap.Logger, level zap.AtomicLevel) Option {
 	return func(n *Node) error {
 		n.log = l
+		n.level = level
 		return nil
 	}
 }
@@ -87,7 +90,7 @@
 // New returns a node that does not serve yet.
 func New(ctx context.Context, s settings.Fleet, opts ...Option) (*Node, error) {
 	n := &Node{
-		settings: s, log: zap.NewNop(), clock: tick.NewClock(), start: time.Now(), members: []string{s.Peer},
+		settings: s, log: zap.NewNop(), level: zap.NewAtomicLevel(), clock: tick.NewClock(), start: time.Now(), members: []string{s.Peer},
 		lanes: map[string]*traffic.Lane{}, slots: map[string]server{}, led: map[string]bool{},
 	}
 	for _, o := range opts {
@@ -97,6 +100,7 @@
 	}
 	n.ctx, n.stop = context.WithCancel(ctx)
 	n.routes.Store(newRouting(bundle.Bundle{}))
+	n.grace.Store(int64(s.GraceMS))
 	n.store = platform.NewStore(s.Store)
 	n.servers = platform.NewControl(s.Node)
 	n.orders = platform.NewOrders(s.Orders, s.Node, n.mayOrder)
