--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -39,9 +39,13 @@
 		return
 	}
 	held := l.kind.Holds(s, r)
+	wrote := commitsWrite(s, r, e)
 	s = follow(s, c, r, e)
+	if wrote && !l.kind.Settles {
+		s = s.WithFloor(e.Position)
+	}
 	l.sessions.Put(s.ID, s)
-	if commits(r, e) && l.kind.Replicated && c.Server == l.view.Primary {
+	if wrote && l.kind.Replicated && c.Server == l.view.Primary {
 		l.lead(r.Started)
 		l.releaseLed(now)
 	}
@@ -65,12 +69,13 @@
 	return r.Statement.Kind != KindCommit || e.Tag == "COMMIT"
 }
 
-// commits reports whether an answer means that a write was acknowledged.
-func commits(r Request, e Replied) bool {
+// commitsWrite reports whether an answer means that a write was acknowledged; s is the session before the answer. A commit of
+// what only read says nothing, since no replica has to receive anything for it.
+func commitsWrite(s Session, r Request, e Replied) bool {
 	if e.Failed {
 		return false
 	}
-	return r.Statement.Kind == KindWrite && r.Joined == 0 || r.Statement.Kind == KindCommit && committed(r, e)
+	return r.Statement.Kind == KindWrite && r.Joined == 0 || r.Statement.Kind == KindCommit && s.Changed && committed(r, e)
 }
 
 // giveBack returns the slot, and the connection too unless a transaction goes on in it.
@@ -97,6 +102,9 @@
 	if !e.Open {
 		return s.WithoutTransaction()
 	}
+	if r.Statement.Kind == KindWrite && !e.Failed {
+		s = s.WithChange()
+	}
 	if r.Statement.Kind == KindBegin && r.Statement.Writes {
 		s = s.WithWrite(r.Statement.Key)
 	}
@@ -109,11 +117,7 @@
 	if held {
 		l.out = append(l.out, Release{Session: s.ID, Seq: r.Seq, Floor: s.Floor})
 	}
-	wrote := commits(r, e)
 	l.finish(r, func(s Session) Session {
-		if wrote && !l.kind.Settles {
-			return s.WithFloor(e.Position)
-		}
 		if r.Statement.Kind == KindRead && !e.Position.IsZero() && !s.Stale {
 			return s.WithSeen(e.Position)
 		}
--- a/internal/caller/rows.go
+++ b/internal/caller/rows.go
@@ -62,9 +62,11 @@
 	Active     RequestID
 	Conn       ConnID
 	Wrote      bool
-	Key        string
-	Failed     bool
-	Closing    bool
+	// Changed says that a write in the transaction was answered with success.
+	Changed bool
+	Key     string
+	Failed  bool
+	Closing bool
 }
 
 // WithFloor returns the row with its floor known and at least p.
@@ -121,10 +123,17 @@
 	return s
 }
 
+// WithChange returns the row after a write in its transaction that succeeded.
+func (s Session) WithChange() Session {
+	s.Changed = true
+	return s
+}
+
 // WithoutTransaction returns the row outside of any transaction.
 func (s Session) WithoutTransaction() Session {
 	s.Conn = 0
 	s.Wrote = false
+	s.Changed = false
 	s.Key = ""
 	s.Failed = false
 	return s
