--- a/internal/caller/pool.go
+++ b/internal/caller/pool.go
@@ -55,7 +55,7 @@
 	row, _ := l.servers.Get(c.Server)
 	l.doubt(now, c.Server)
 	row, _ = l.servers.Get(c.Server)
-	row = row.WithOpening(-1).WithRetry(now + l.jitter(ConnectBackoff))
+	row = row.WithOpening(-1).WithRetry(now + ConnectBackoff/2 + l.jitter(ConnectBackoff/2))
 	l.servers.Put(c.Server, row)
 	l.servers.Wake(c.Server, row.Retry)
 	l.conns.Delete(id)
--- a/internal/upstream/appointed.go
+++ b/internal/upstream/appointed.go
@@ -120,9 +120,10 @@
 	return 0
 }
 
-// unpaused reports whether a replica was not paused when it was asked: a promotion pauses all replicas before it orders.
+// unpaused reports whether a replica was not paused when it was asked: a promotion pauses all replicas before it orders. A
+// primary that has stepped down says nothing of the kind about itself.
 func unpaused(g Group, s Server) bool {
-	return s.Status.Role == RoleReplica && s.Status.Promised == 0 && s.Status.Term == g.Term
+	return s.Name != g.Primary && s.Status.Role == RoleReplica && s.Status.Promised == 0 && s.Status.Term == g.Term
 }
 
 // deposed reports whether a server still leads an older term.
