--- a/internal/caller/kind.go
+++ b/internal/caller/kind.go
@@ -27,6 +27,9 @@
 	Name string
 	// Holds reports whether the answer to a request waits for evidence that is gathered after it.
 	Holds func(s Session, r Request) bool
+	// Notes says that every answer goes to its caller only after the lane has taken note of it, so that a request which the
+	// lane gave up in the same moment is not answered behind its back. Answers must be small then.
+	Notes bool
 	// Leads reports whether the answer of the primary to a request counts only with evidence that it led when the request
 	// arrived.
 	Leads func(r Request) bool
@@ -68,6 +71,7 @@
 		Holds:      func(Session, Request) bool { return false },
 		Leads:      func(r Request) bool { return r.Statement.Kind == KindRead || r.Statement.Kind == KindBegin },
 		Witness:    func(v upstream.GroupView, try int) string { return nearestReplica(v, nearness, try) },
+		Notes:      true,
 		Replicated: true,
 		Serves:     coversSample,
 	}
--- a/internal/caller/proof.go
+++ b/internal/caller/proof.go
@@ -116,7 +116,7 @@
 		case !ok || r.Lead && r.Phase == PhaseRunning && l.ledAt(r.Arrived):
 		case r.Lead && r.Phase == PhaseProving && l.ledAt(r.Arrived):
 			s, _ := l.sessions.Get(r.Session)
-			l.answer(now, s, r, Replied{Position: r.Position}, true)
+			l.answer(now, s, r, Replied{Position: r.Position})
 		default:
 			l.proving = append(l.proving, id)
 		}
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -258,15 +258,14 @@
 		func() string { return fmt.Sprintf("request %d attempt %d", r.ID, r.Attempts+1) })
 	l.checkFloor(s, r, row)
 	r = r.WithRun(now, id, row.View.Name)
-	hold := l.kind.Holds(s, r)
+	r = r.WithHeld(l.kind.Notes || l.kind.Holds(s, r) || r.Statement.Kind == KindBegin)
 	if row.View.Name == l.view.Primary && l.needsLead(r) {
-		hold = true
 		r = r.WithLead()
 		l.proving = append(l.proving, r.ID)
 	}
 	l.requests.Put(r.ID, r)
 	l.out = append(l.out, Send{
-		Conn: id, Request: r.ID, Session: s.ID, Seq: r.Seq, Hold: hold, Wrap: wrap(s, r),
+		Conn: id, Request: r.ID, Session: s.ID, Seq: r.Seq, Hold: r.Held, Wrap: wrap(s, r),
 		Key: r.Statement.Key, Stale: s.Stale, Need: need,
 	})
 }
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -54,13 +54,13 @@
 		l.requests.Put(r.ID, r.WithPhase(PhaseProving))
 		l.requests.Wake(r.ID, r.Deadline)
 	case r.Lead:
-		l.answer(now, s, r, e, true)
+		l.answer(now, s, r, e)
 	case e.Duplicate:
 		l.settle(now, r)
 	case held && !e.Failed && committed(r, e):
 		l.prove(now, r.WithProving(now, e.Position, ResultAnswered))
 	default:
-		l.answer(now, s, r, e, held)
+		l.answer(now, s, r, e)
 	}
 }
 
@@ -111,10 +111,10 @@
 	return s.WithTransaction(c.ID)
 }
 
-// answer ends a request whose answer needs no evidence; a held one is let go.
-func (l *Lane) answer(now time.Duration, s Session, r Request, e Replied, held bool) {
+// answer ends a request whose answer needs no evidence any more; a held one is let go.
+func (l *Lane) answer(now time.Duration, s Session, r Request, e Replied) {
 	l.checkRead(s, r, e)
-	if held {
+	if r.Held {
 		l.out = append(l.out, Release{Session: s.ID, Seq: r.Seq, Floor: s.Floor})
 	}
 	l.finish(r, func(s Session) Session {
--- a/internal/caller/rows.go
+++ b/internal/caller/rows.go
@@ -203,10 +203,18 @@
 	Avoid string
 	// Joined is the connection of the transaction that the request belongs to.
 	Joined ConnID
+	// Held says that the answer goes to its caller only by the lane's word.
+	Held bool
 	// Lead says that the answer waits for evidence that the primary led when the request arrived.
 	Lead bool
 }
 
+// WithHeld returns the row of a request whose answer is kept back, or not, until the lane has taken note of it.
+func (r Request) WithHeld(held bool) Request {
+	r.Held = held
+	return r
+}
+
 // WithLead returns the row of a request whose answer waits for evidence about the primary.
 func (r Request) WithLead() Request {
 	r.Lead = true
