--- a/internal/caller/policy.go
+++ b/internal/caller/policy.go
@@ -21,6 +21,9 @@
 	Admit func(wait, left time.Duration) bool
 	// ReplicaPatience is how long a read that replicas may serve waits for one before it takes a slot of the primary.
 	ReplicaPatience time.Duration
+	// Warm is how many idle connections to a server are kept, and SpareFor how long others stay idle; zero keeps all.
+	Warm     int
+	SpareFor time.Duration
 	// Leases says that nodes ask servers for slots instead of keeping static shares.
 	Leases bool
 }
@@ -120,6 +123,9 @@
 const (
 	// unmeasured is what an answer of a server is taken to take before the first came.
 	unmeasured = 20 * time.Millisecond
+	// spareFor is above the pauses between a session's statements. Connections of nodes that lost power count at a server for
+	// seconds, in which only what the others did not use can be opened.
+	spareFor = 300 * time.Millisecond
 	// primaryCost is how much slower a read may be at a replica before it takes a slot of the primary.
 	primaryCost = 30 * time.Millisecond
 )
@@ -134,6 +140,8 @@
 	p.Name = "quickest"
 	p.Leases = false
 	p.ReplicaPatience = 0
+	p.Warm = 1
+	p.SpareFor = spareFor
 	p.Route = func(q Query) []Server { return routeQuickest(q, nearness) }
 	return p
 }
--- a/internal/caller/pool.go
+++ b/internal/caller/pool.go
@@ -40,7 +40,11 @@
 	row, _ := l.servers.Get(c.Server)
 	l.conns.Put(c.ID, c.WithPhase(now, ConnIdle).WithRequest(0, false).WithSession(0))
 	l.servers.Put(c.Server, row.WithIdle(c.ID))
-	l.conns.Wake(c.ID, min(now+IdleLimit, c.Opened+ConnLifetime+l.jitter(ConnLifetime/4)))
+	end := min(now+IdleLimit, c.Opened+ConnLifetime+l.jitter(ConnLifetime/4))
+	if l.policy.SpareFor > 0 {
+		end = min(end, now+l.policy.SpareFor)
+	}
+	l.conns.Wake(c.ID, end)
 	if row.Open > row.Conns {
 		l.retire(c.ID)
 	}
@@ -113,9 +117,16 @@
 // tendPool closes connections that are too old or were idle for too long.
 func tendPool(l *Lane, now time.Duration) {
 	for _, k := range l.conns.TakeDue(now) {
-		if c, _ := l.conns.Get(k); c.Phase == ConnIdle {
-			l.retire(k)
+		c, _ := l.conns.Get(k)
+		if c.Phase != ConnIdle {
+			continue
+		}
+		row, _ := l.servers.Get(c.Server)
+		if l.policy.SpareFor > 0 && len(row.Idle) <= l.policy.Warm && now < min(c.Since+IdleLimit, c.Opened+ConnLifetime) {
+			l.conns.Wake(k, min(c.Since+IdleLimit, c.Opened+ConnLifetime))
+			continue
 		}
+		l.retire(k)
 	}
 }
 
