Probe only idle servers, and doubt a server whose answer is slow

Cause: most of the proxy's own questions were probes of healthy servers. A server from which nothing was heard is probed after 1 s (primary) or 3 s; a request that runs for 400 ms makes a silent server be probed at once.

--- a/internal/caller/kind.go
+++ b/internal/caller/kind.go
@@ -18,6 +18,8 @@
 	behindFor = 100 * time.Millisecond
 	// declinedFor is how long requests keep away from a server that declined one.
 	declinedFor = 25 * time.Millisecond
+	// slowAfter is how long a server may take before its answer is missed; nearly all work is shorter.
+	slowAfter = 400 * time.Millisecond
 	// hearEvery is the least time between two reports to control about one server.
 	hearEvery = 250 * time.Millisecond
 )
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -264,6 +264,9 @@
 		l.proving = append(l.proving, r.ID)
 	}
 	l.requests.Put(r.ID, r)
+	if l.kind.Notes {
+		l.requests.Wake(r.ID, min(r.Deadline, now+slowAfter))
+	}
 	l.out = append(l.out, Send{
 		Conn: id, Request: r.ID, Session: s.ID, Seq: r.Seq, Hold: r.Held, Wrap: wrap(s, r),
 		Key: r.Statement.Key, Stale: s.Stale, Need: need,
--- a/internal/caller/settle.go
+++ b/internal/caller/settle.go
@@ -70,6 +70,11 @@
 }
 
 func (l *Lane) expire(now time.Duration, r Request) {
+	if now < r.Deadline && (r.Phase == PhaseRunning || r.Phase == PhaseProving) {
+		l.doubt(now, r.Server)
+		l.requests.Wake(r.ID, r.Deadline)
+		return
+	}
 	switch r.Phase {
 	case PhaseFloor:
 		l.floorMissing(now, r)
--- a/internal/upstream/appointed.go
+++ b/internal/upstream/appointed.go
@@ -19,13 +19,13 @@
 		Name: "appointed",
 		Times: Times{
 			// Traffic shows most servers alive; probes go to those from which nothing was heard for so long.
-			ProbeEvery:   500 * time.Millisecond,
-			ProbeFar:     1500 * time.Millisecond,
+			ProbeEvery:   time.Second,
+			ProbeFar:     3 * time.Second,
 			ProbeSoon:    150 * time.Millisecond,
 			ProbeTimeout: time.Second,
 			DoubtAfter:   300 * time.Millisecond,
-			FreshFor:     2 * time.Second,
-			AliveFor:     3 * time.Second,
+			FreshFor:     4 * time.Second,
+			AliveFor:     5 * time.Second,
 			// Silence is above the time that a status question may wait behind other work at a busy server.
 			Silence: 1200 * time.Millisecond,
 			// EvidenceTTL covers a question to the closest replica and a few requests after it.
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -237,9 +237,9 @@
 	}
 }
 
-// doubt probes a server now, and the others of its group soon.
+// doubt probes a server of which nothing was heard lately, and the others of its group soon.
 func (w *Watch) doubt(now time.Duration, server string) {
-	if s, ok := w.servers.Get(server); ok && !s.Probing {
+	if s, ok := w.servers.Get(server); ok && !s.Probing && now-s.Heard >= w.kind.Times.DoubtAfter {
 		w.servers.Wake(server, max(now, s.Sent+w.kind.Times.ProbeSoon))
 		w.servers.Put(server, s.WithDoubt(now))
 		w.hurry(now, s.Group)
