Put slow classes behind quick ones, wait within the objective, and leave lagging replicas alone for longer

Cause: with replicas far behind, a primary alone had 5.7 slots of work for its 5, in order of arrival; 6,016 reads were sent to replicas that lacked what they needed. Reads of classes that take over 1.3 times the mean go last, a request that has waited 0.7 of its objective for a server is refused with a time to come back, and a replica that goes on lacking is asked after 0.1 to 1.6 s.

--- a/internal/caller/decline.go
+++ b/internal/caller/decline.go
@@ -64,7 +64,7 @@
 func (l *Lane) avoid(now time.Duration, server string, e Declined) {
 	row, _ := l.servers.Get(server)
 	if e.Why == DeclineBehind {
-		row = row.WithBehind(now + behindFor)
+		row = row.WithBehind(now + behindFor<<min(row.Lacked, maxBehindDoublings))
 	} else {
 		row = row.WithDeclined(now + declinedFor)
 	}
--- a/internal/caller/kind.go
+++ b/internal/caller/kind.go
@@ -16,6 +16,8 @@
 	sampleFor = 5 * time.Second
 	// behindFor is how long reads of a stated age keep away from a replica that lacked the position they need.
 	behindFor = 100 * time.Millisecond
+	// maxBehindDoublings bounds how often that time doubles while the replica goes on lacking.
+	maxBehindDoublings = 4
 	// declinedFor is how long requests keep away from a server that declined one.
 	declinedFor = 25 * time.Millisecond
 	// slowAfter is how long a server may take before its answer is missed; nearly all work is shorter.
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -24,6 +24,8 @@
 	servers   *table.Table[string, Server]
 	proofs    *table.Table[uint64, proof]
 	flows     *table.Table[int, flow]
+	costs     *table.Table[string, classCost]
+	now       time.Duration
 	leases    *table.Table[string, lease]
 	wants     map[string]demand
 	leasing   bool
@@ -139,6 +141,7 @@
 		servers:  table.New[string, Server](),
 		proofs:   table.New[uint64, proof](),
 		flows:    table.New[int, flow](),
+		costs:    table.New[string, classCost](),
 		leases:   table.New[string, lease](),
 		wants:    map[string]demand{},
 		retries:  retryBurst,
@@ -166,6 +169,7 @@
 // Step takes what happened since the last step and returns what to do, and when to be called again at the latest.
 func (l *Lane) Step(now time.Duration, es []Event) ([]Action, time.Duration) {
 	l.out = nil
+	l.now = now
 	for _, e := range es {
 		l.apply(now, e)
 	}
--- a/internal/caller/policy.go
+++ b/internal/caller/policy.go
@@ -11,8 +11,10 @@
 // Policy is how a lane shares out scarce servers; each field may be replaced on its own.
 type Policy struct {
 	Name string
-	// Order puts a request into one of the lane's queues.
-	Order func(r Request) QueueID
+	// Order puts a request into one of the lane's queues; slow says that its class takes longer than most.
+	Order func(r Request, slow bool) QueueID
+	// Patience is how long a request may wait for a server that is there; it never runs after that.
+	Patience func(r Request) time.Duration
 	// Route orders the servers that may run a read, best first.
 	Route func(q Query) []Server
 	// LongLimit is how many of a server's slots long requests may hold at once.
@@ -48,7 +50,8 @@
 func Ours() Policy {
 	return Policy{
 		Name:      "ours",
-		Order:     orderByClass,
+		Order:     func(r Request, _ bool) QueueID { return orderByClass(r) },
+		Patience:  wholeDeadline,
 		Route:     routeNearest,
 		LongLimit: func(slots int) int { return max(1, slots-1-slots/3) },
 		Admit:     func(wait, left time.Duration) bool { return wait <= left },
@@ -62,7 +65,8 @@
 func FIFO() Policy {
 	return Policy{
 		Name:      "fifo",
-		Order:     func(Request) QueueID { return QueueShort },
+		Order:     func(Request, bool) QueueID { return QueueShort },
+		Patience:  wholeDeadline,
 		Route:     routeRotation,
 		LongLimit: func(slots int) int { return slots },
 		Admit:     func(time.Duration, time.Duration) bool { return true },
@@ -81,6 +85,29 @@
 	}
 }
 
+// wholeDeadline lets a request wait as long as it may take.
+func wholeDeadline(r Request) time.Duration {
+	return r.Deadline - r.Arrived
+}
+
+// withinObjective lets a request wait for the part of its objective after which it would most likely be late; its caller can
+// ask another node then.
+func withinObjective(r Request) time.Duration {
+	if d := time.Duration(r.Statement.Class.ObjectiveMS) * time.Millisecond; d > 0 {
+		return min(d*patientTenths/10, wholeDeadline(r))
+	}
+	return wholeDeadline(r)
+}
+
+// orderByCost is orderByClass with reads of slow classes behind the others: where slots are short, more requests are answered
+// with those that take less.
+func orderByCost(r Request, slow bool) QueueID {
+	if q := orderByClass(r); q != QueueStale || !slow {
+		return q
+	}
+	return QueueLong
+}
+
 func orderByClass(r Request) QueueID {
 	switch {
 	case r.Statement.Class.Long:
@@ -126,6 +153,8 @@
 	// spareFor is above the pauses between a session's statements. Connections of nodes that lost power count at a server for
 	// seconds, in which only what the others did not use can be opened.
 	spareFor = 300 * time.Millisecond
+	// patientTenths is the part of its objective, in tenths, that a request may wait for a server.
+	patientTenths = 7
 	// primaryCost is how much slower a read may be at a replica before it takes a slot of the primary.
 	primaryCost = 30 * time.Millisecond
 )
@@ -140,6 +169,8 @@
 	p.Name = "quickest"
 	p.Leases = false
 	p.ReplicaPatience = 0
+	p.Order = orderByCost
+	p.Patience = withinObjective
 	p.Warm = 1
 	p.SpareFor = spareFor
 	p.Route = func(q Query) []Server { return routeQuickest(q, nearness) }
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -9,6 +9,27 @@
 	"buckthornport.example/buckthornport/pkg/session"
 )
 
+// classCost is the row of one class of requests: how long their answers take, the latest counting most.
+type classCost struct {
+	mean time.Duration
+}
+
+// withAnswer returns the row after an answer that took so long.
+func (c classCost) withAnswer(d time.Duration) classCost {
+	if c.mean == 0 {
+		c.mean = d
+	}
+	c.mean += time.Duration(flowWeight * float64(d-c.mean))
+	return c
+}
+
+const (
+	// allClasses is the key of the row that stands for all classes together.
+	allClasses = ""
+	// slowTenths is how many tenths of the mean over all classes make a slow class.
+	slowTenths = 13
+)
+
 // flow is the row of one queue's departures while others waited behind.
 type flow struct {
 	last   time.Duration
@@ -35,11 +56,14 @@
 	r = r.WithPhase(PhaseQueued)
 	l.requests.Put(r.ID, r)
 	l.requests.Wake(r.ID, r.Deadline)
+	if s.Conn == 0 {
+		l.requests.Wake(r.ID, min(r.Deadline, r.Arrived+l.policy.Patience(r)))
+	}
 	if s.Conn != 0 {
 		l.queues[QueueTransaction] = append(l.queues[QueueTransaction], r.ID)
 		return
 	}
-	q := l.policy.Order(r)
+	q := l.policy.Order(r, l.slow(r))
 	if wait := l.expectedWait(q); !l.policy.Admit(wait, r.Deadline-now) {
 		l.refuse(r, Refusal{Reason: ReasonOverload, Retry: wait, Detail: fmt.Sprintf("expected wait %v", wait)})
 		return
@@ -51,8 +75,8 @@
 func (l *Lane) requeue(r Request) {
 	r = r.WithPhase(PhaseQueued).WithoutLead()
 	l.requests.Put(r.ID, r)
-	l.requests.Wake(r.ID, r.Deadline)
-	q := l.policy.Order(r)
+	l.requests.Wake(r.ID, max(l.now, min(r.Deadline, r.Arrived+l.policy.Patience(r))))
+	q := l.policy.Order(r, l.slow(r))
 	l.queues[q] = slices.Insert(l.queues[q], 0, r.ID)
 }
 
@@ -98,6 +122,13 @@
 	l.queues[q] = queue[i-n:]
 }
 
+// slow reports whether requests of a class take longer than most.
+func (l *Lane) slow(r Request) bool {
+	c, _ := l.costs.Get(r.Statement.Class.Name)
+	all, _ := l.costs.Get(allClasses)
+	return c.mean*10 > all.mean*slowTenths
+}
+
 // waits reports whether a queue entry still stands for a request that waits in it.
 func (l *Lane) waits(r Request) bool {
 	return r.Phase == PhaseQueued || r.Phase == PhaseSettling && r.Conn == 0
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -18,7 +18,8 @@
 	l.giveBack(now, c, r, known, e.Open)
 	row, _ := l.servers.Get(c.Server)
 	if known {
-		row = row.WithTook(now - r.Started)
+		row = row.WithTook(now - r.Started).WithBehind(0)
+		l.learnCost(r, now-r.Started)
 	}
 	if c.Server != l.view.Primary {
 		row = row.WithShown(e.Position)
@@ -64,6 +65,15 @@
 	}
 }
 
+// learnCost keeps how long answers to a class take.
+func (l *Lane) learnCost(r Request, took time.Duration) {
+	for _, k := range []string{r.Statement.Class.Name, allClasses} {
+		c, _ := l.costs.Get(k)
+		l.costs.Put(k, c.withAnswer(took))
+	}
+	l.costs.TakeDirty()
+}
+
 // committed reports whether an answer means that work was committed, which a commit of a failed transaction is not.
 func committed(r Request, e Replied) bool {
 	return r.Statement.Kind != KindCommit || e.Tag == "COMMIT"
--- a/internal/caller/rows.go
+++ b/internal/caller/rows.go
@@ -371,6 +371,8 @@
 	// Behind is until when the server is thought to lack what reads of a stated age need, Declined until when it is spared.
 	Behind   time.Duration
 	Declined time.Duration
+	// Lacked is how often in a row the server lacked what a read needed.
+	Lacked int
 	// Told and Doubted are when control was last told of an answer, and of a missing one.
 	Told    time.Duration
 	Doubted time.Duration
@@ -401,9 +403,13 @@
 	return s
 }
 
-// WithBehind returns the row of a server that lacked what a read needed.
+// WithBehind returns the row of a server that lacked what a read needed, or for zero of one that had it.
 func (s Server) WithBehind(until time.Duration) Server {
 	s.Behind = until
+	s.Lacked++
+	if until == 0 {
+		s.Lacked = 0
+	}
 	return s
 }
 
--- a/internal/caller/settle.go
+++ b/internal/caller/settle.go
@@ -99,7 +99,13 @@
 // expireQueued refuses what never ran; a read that was sent before is cut, since its earlier tries prove nothing.
 func (l *Lane) expireQueued(r Request) {
 	s, _ := l.sessions.Get(r.Session)
+	if l.now < r.Deadline && l.leader() == "" {
+		l.requests.Wake(r.ID, r.Deadline)
+		return
+	}
 	switch {
+	case l.now < r.Deadline:
+		l.refuse(r.WithUnsent(), Refusal{Reason: ReasonOverload, Retry: retryHint})
 	case r.Sent:
 		l.refuse(r, Refusal{Reason: ReasonCut})
 	case l.leader() == "" && s.Conn == 0:
