--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -97,7 +97,7 @@
 
 func (n *Node) publish(v upstream.GroupView) {
 	n.mu.Lock()
-	n.led[v.Name] = v.Primary != ""
+	n.views[v.Name] = v
 	l, ok := n.lanes[v.Name]
 	n.mu.Unlock()
 	if ok {
@@ -105,6 +105,13 @@
 	}
 }
 
+// view returns the picture of a group as control last published it.
+func (n *Node) view(group string) upstream.GroupView {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.views[group]
+}
+
 // mayOrder reports whether the lease behind an order still holds on this node's own clock.
 func (n *Node) mayOrder(a upstream.OrderPromote) bool {
 	return n.clock() < a.Until
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -22,6 +22,7 @@
 	"buckthornport.example/buckthornport/internal/settings"
 	"buckthornport.example/buckthornport/internal/tick"
 	"buckthornport.example/buckthornport/internal/traffic"
+	"buckthornport.example/buckthornport/internal/upstream"
 	"buckthornport.example/buckthornport/pkg/bundle"
 	"buckthornport.example/buckthornport/platform"
 )
@@ -52,7 +53,7 @@
 	lanes   map[string]*traffic.Lane
 	members []string
 	slots   map[string]server
-	led     map[string]bool
+	views   map[string]upstream.GroupView
 }
 
 // server is what the platform's list says of a server, as far as shares depend on it.
@@ -91,7 +92,7 @@
 func New(ctx context.Context, s settings.Fleet, opts ...Option) (*Node, error) {
 	n := &Node{
 		settings: s, log: zap.NewNop(), level: zap.NewAtomicLevel(), clock: tick.NewClock(), start: time.Now(), members: []string{s.Peer},
-		lanes: map[string]*traffic.Lane{}, slots: map[string]server{}, led: map[string]bool{},
+		lanes: map[string]*traffic.Lane{}, slots: map[string]server{}, views: map[string]upstream.GroupView{},
 	}
 	for _, o := range opts {
 		if err := o(n); err != nil {
@@ -175,7 +176,7 @@
 	b := n.routes.Load().bundle
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return b.Version != 0 && !slices.ContainsFunc(b.Groups, func(g bundle.Group) bool { return !n.led[g.Name] })
+	return b.Version != 0 && !slices.ContainsFunc(b.Groups, func(g bundle.Group) bool { return n.views[g.Name].Primary == "" })
 }
 
 // keep puts a record of the audit trail into the log.
--- /dev/null
+++ b/internal/fleet/whole_test.go
@@ -0,0 +1,301 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"buckthornport.example/buckthornport/internal/settings"
+	"buckthornport.example/buckthornport/internal/standin/metadata"
+)
+
+const config = `{"Version":%d,"Routes":[
+{"Name":"r1","Host":"ledger","Kind":"primary","TimeoutMs":8000,"TargetLatencyMs":8000,"Priority":1,"Service":"books"},
+{"Name":"r2","Host":"board","Kind":"bounded_staleness","TimeoutMs":8000,"Priority":2,"Service":"books","MaxStalenessMs":1500},
+{"Name":"r3","Host":"tickets","Kind":"read_your_writes","TimeoutMs":8000,"Priority":2,"Service":"books","MaxStalenessMs":2500}%s],
+"Services":[{"Name":"books","MaxConns":33,"SyncReplicas":1}],"Limits":{"TxIdleMs":3000}}`
+
+// deployment is a platform, one group of three servers and some nodes on loopback.
+type deployment struct {
+	platform *metadata.Platform
+	nodes    []*Node
+}
+
+func freeAddress(c *qt.C) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { c.Assert(l.Close(), qt.IsNil) }()
+	return l.Addr().String()
+}
+
+func startDeployment(c *qt.C, nodes int) *deployment {
+	d := &deployment{platform: metadata.New()}
+	c.Assert(d.platform.AddGroup("books", []string{"a", "b", "m"}, 300*time.Millisecond), qt.IsNil)
+	d.platform.Put("op", "config", fmt.Appendf(nil, config, 3, ""))
+	srv := httptest.NewServer(d.platform.Handler())
+	c.Cleanup(srv.CloseClientConnections)
+	address := strings.TrimPrefix(srv.URL, "http://")
+	for i := range nodes {
+		d.start(c, fmt.Sprintf("node-%d", i+1), address)
+	}
+	for _, n := range d.nodes {
+		waitUntil(c, "node is ready", n.Ready)
+	}
+	return d
+}
+
+func (d *deployment) start(c *qt.C, name, address string) {
+	s := settings.Fleet{
+		Node: name, Zone: "a", Zones: []settings.Zone{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}, {Name: "m", Region: "q"}},
+		Listen: freeAddress(c), Ready: freeAddress(c), Peer: freeAddress(c), Store: address, Orders: address,
+		GraceMS: 2000, LogLevel: "info",
+	}
+	if len(d.nodes) > 0 {
+		s.Seeds = []string{d.nodes[0].settings.Peer}
+	}
+	n, err := New(context.Background(), s)
+	c.Assert(err, qt.IsNil)
+	done := make(chan error, 1)
+	go func() { done <- n.Run() }()
+	c.Cleanup(func() {
+		n.Stop()
+		c.Assert(<-done, qt.IsNil)
+	})
+	d.nodes = append(d.nodes, n)
+}
+
+// waitUntil waits for something that must come to pass; the test's own timeout bounds it.
+func waitUntil(c *qt.C, what string, holds func() bool) {
+	for i := 0; !holds(); i++ {
+		time.Sleep(10 * time.Millisecond)
+		if i == 3000 {
+			c.Fatalf("%s: did not come to pass", what)
+		}
+	}
+}
+
+// session is a caller's connection.
+type session struct {
+	c    *qt.C
+	conn net.Conn
+	r    *bufio.Reader
+	ids  int
+	// hello is the first line that the node sent.
+	hello string
+}
+
+func connect(c *qt.C, n *Node, database string) *session {
+	conn, err := net.Dial("tcp", n.settings.Listen)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	s := &session{c: c, conn: conn, r: bufio.NewReader(conn)}
+	_, err = fmt.Fprintf(conn, "STARTUP %s user\r\n", database)
+	c.Assert(err, qt.IsNil)
+	s.hello = s.line()
+	return s
+}
+
+func (s *session) line() string {
+	l, err := s.r.ReadString('\n')
+	s.c.Assert(err, qt.IsNil)
+	return strings.TrimSuffix(l, "\r\n")
+}
+
+// ask sends a statement and returns the words of its answer: rows, and the code of an error or the state after it.
+func (s *session) ask(text string) (rows []string, outcome string) {
+	s.ids++
+	_, err := fmt.Fprintf(s.conn, "QUERY id%d %s\r\n", s.ids, text)
+	s.c.Assert(err, qt.IsNil)
+	for {
+		fs := strings.Fields(s.line())
+		switch fs[0] {
+		case "DATAROW":
+			rows = append(rows, fs[1])
+		case "ERROR":
+			outcome = fs[1]
+		case "READY":
+			if outcome == "" {
+				outcome = fs[1]
+			}
+			return rows, outcome
+		}
+	}
+}
+
+// until repeats a statement while it is refused with a promise that nothing is kept.
+func (s *session) until(text string) (rows []string, outcome string) {
+	for range 100 {
+		rows, outcome = s.ask(text)
+		if outcome != "BUSY" && outcome != "ABORTED" && outcome != "READONLY" {
+			return rows, outcome
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return rows, outcome
+}
+
+func assertAnswers(s *session, text string, rows []string, outcome string) {
+	s.c.Helper()
+	got, state := s.until(text)
+	s.c.Assert(state, qt.Equals, outcome, qt.Commentf("%s", text))
+	s.c.Assert(got, qt.DeepEquals, rows, qt.Commentf("%s", text))
+}
+
+func assertNothingBroken(c *qt.C, d *deployment) {
+	c.Helper()
+	c.Assert(d.platform.Broken(), qt.HasLen, 0)
+}
+
+// TestWholePath serves callers over real sockets, and replaces a primary.
+func TestWholePath(t *testing.T) {
+	t.Run("statements", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 2)
+		s := connect(c, d.nodes[0], "ledger")
+		c.Assert(s.hello, qt.Equals, "READY I -")
+		assertAnswers(s, "WRITE rent 7", nil, "I")
+		assertAnswers(s, "READ rent", []string{"7"}, "I")
+		assertAnswers(s, "SET v 1", nil, "I")
+		assertAnswers(s, "PREPARE p READ q1", nil, "I")
+		assertAnswers(s, "BEGIN", nil, "T")
+		assertAnswers(s, "WRITE rent 8", nil, "T")
+		assertAnswers(s, "READ rent", []string{"8"}, "T")
+		assertAnswers(s, "COMMIT", nil, "I")
+		assertAnswers(s, "BEGIN", nil, "T")
+		assertAnswers(s, "WRITE rent 9", nil, "T")
+		assertAnswers(s, "ROLLBACK", nil, "I")
+		assertAnswers(connect(c, d.nodes[1], "ledger"), "READ rent", []string{"8"}, "I")
+		assertAnswers(s, "NONSENSE", nil, "MALFORMED")
+		assertAnswers(s, "EXECUTE missing 1", nil, "NOSTMT")
+		assertNothingBroken(c, d)
+	})
+	t.Run("own work", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 1)
+		d.platform.Set("books", 1, metadata.Lag(400*time.Millisecond))
+		d.platform.Set("books", 2, metadata.Lag(400*time.Millisecond))
+		s := connect(c, d.nodes[0], "tickets")
+		for i := range 20 {
+			assertAnswers(s, fmt.Sprintf("WRITE weight %d", i), nil, "I")
+			assertAnswers(s, "READ weight", []string{fmt.Sprint(i)}, "I")
+		}
+	})
+	t.Run("routes", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 1)
+		c.Assert(connect(c, d.nodes[0], "nowhere").hello, qt.Matches, "ERROR NODB .*")
+		s := connect(c, d.nodes[0], "ledger")
+		assertAnswers(s, "READ a", []string{"none"}, "I")
+		d.platform.Put("op", "config", fmt.Appendf(nil, config, 9, `,{"Name":"r4","Host":"new","Kind":"primary","Service":"books"}`))
+		waitUntil(c, "the new route is there", func() bool {
+			_, ok := d.nodes[0].route("new")
+			return ok
+		})
+		d.platform.Put("op", "config", []byte(`{"Version":10,"Routes":[],"Services":[]}`))
+		waitUntil(c, "the routes are gone", func() bool {
+			_, ok := d.nodes[0].route("ledger")
+			return !ok
+		})
+		_, outcome := s.ask("READ a")
+		c.Assert(outcome, qt.Equals, "NODB")
+	})
+	t.Run("a foreign entry harms nothing", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 1)
+		d.platform.Put("servers", "i-odd", []byte(`{"Service":7,"Addr":"nowhere"`))
+		s := connect(c, d.nodes[0], "ledger")
+		assertAnswers(s, "READ a", []string{"none"}, "I")
+	})
+	for _, k := range []struct {
+		name   string
+		change metadata.Switch
+	}{
+		{"primary crashes", metadata.Down(true)},
+		{"primary goes dark", metadata.Dark(true)},
+		{"primary is to leave", metadata.Drain()},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := startDeployment(c, 3)
+			s := connect(c, d.nodes[0], "ledger")
+			assertAnswers(s, "WRITE before 1", nil, "I")
+			d.platform.Set("books", 0, k.change)
+			waitUntil(c, "another primary leads", func() bool {
+				n, term := d.platform.Primary("books")
+				return n > 0 && term > 1
+			})
+			for _, n := range d.nodes {
+				waitUntil(c, "every node knows it", func() bool { return n.view("books").Term > 1 })
+			}
+			o := connect(c, d.nodes[1], "ledger")
+			assertAnswers(o, "WRITE after 2", nil, "I")
+			assertAnswers(o, "READ before", []string{"1"}, "I")
+			c.Assert(d.platform.Log("books"), qt.DeepEquals, []string{"before=1", "after=2"})
+			assertNothingBroken(c, d)
+		})
+	}
+}
+
+// TestStoreTroubles serves on while the store is away, and takes up what changed when it is back.
+func TestStoreTroubles(t *testing.T) {
+	for _, k := range []struct {
+		name   string
+		faults metadata.Faults
+	}{
+		{"down", metadata.Faults{Status: http.StatusServiceUnavailable}},
+		{"busy", metadata.Faults{Status: http.StatusTooManyRequests}},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := startDeployment(c, 1)
+			d.platform.SetFaults(k.faults)
+			d.platform.DropHistory()
+			s := connect(c, d.nodes[0], "ledger")
+			assertAnswers(s, "WRITE a 1", nil, "I")
+			d.platform.Put("op", "config", fmt.Appendf(nil, config, 5, `,{"Name":"r4","Host":"new","Kind":"primary","Service":"books"}`))
+			d.platform.SetFaults(metadata.Faults{})
+			waitUntil(c, "the change is in force", func() bool {
+				_, ok := d.nodes[0].route("new")
+				return ok
+			})
+			assertAnswers(s, "READ a", []string{"1"}, "I")
+		})
+	}
+	t.Run("answers lost", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 2)
+		d.platform.SetFaults(metadata.Faults{LoseAnswers: true})
+		d.platform.Set("books", 0, metadata.Down(true))
+		time.Sleep(time.Second)
+		d.platform.SetFaults(metadata.Faults{})
+		assertAnswers(connect(c, d.nodes[0], "ledger"), "WRITE a 1", nil, "I")
+		assertNothingBroken(c, d)
+	})
+}
+
+// TestDrain ends sessions between their transactions and keeps those that are in one.
+func TestDrain(t *testing.T) {
+	c := qt.New(t)
+	d := startDeployment(c, 1)
+	n := d.nodes[0]
+	s := connect(c, n, "ledger")
+	assertAnswers(s, "BEGIN", nil, "T")
+	drained := make(chan struct{})
+	go func() {
+		n.Drain()
+		close(drained)
+	}()
+	waitUntil(c, "node is not ready", func() bool { return !n.Ready() })
+	assertAnswers(s, "WRITE a 1", nil, "T")
+	assertAnswers(s, "COMMIT", nil, "I")
+	<-drained
+	c.Assert(d.platform.Log("books"), qt.DeepEquals, []string{"a=1"})
+}
--- /dev/null
+++ b/internal/standin/metadata/group.go
@@ -0,0 +1,291 @@
+package metadata
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// group is one database service: a primary and its replicas, which share entries through the platform's lock.
+type group struct {
+	name    string
+	servers []*server
+	promote time.Duration
+	term    uint64
+	acked   []entry
+}
+
+// entry is one committed write.
+type entry struct {
+	term   uint64
+	number uint64
+	writes map[string]string
+}
+
+// server is one database server.
+type server struct {
+	id       string
+	group    *group
+	zone     string
+	listener net.Listener
+	conns    map[net.Conn]bool
+	primary  bool
+	term     uint64
+	held     uint64
+	log      []entry
+	// down refuses connections, dark leaves them unanswered, deaf receives nothing, lag delays what is applied.
+	down    bool
+	dark    bool
+	deaf    bool
+	lag     time.Duration
+	applied []time.Time
+}
+
+// AddGroup starts a group of servers on loopback, one in each zone, and lists them; the first is its primary. An order to
+// promote takes effect after the given time.
+func (p *Platform) AddGroup(name string, zones []string, promote time.Duration) error {
+	g := &group{name: name, promote: promote, term: 1}
+	for i, z := range zones {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		s := &server{
+			id: fmt.Sprintf("i-%s-%d", name, i+1), group: g, zone: z, listener: l, conns: map[net.Conn]bool{},
+			primary: i == 0, term: 1,
+		}
+		g.servers = append(g.servers, s)
+		go p.accept(s)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.groups[name] = g
+	for _, s := range g.servers {
+		p.list(s, "ready")
+	}
+	return nil
+}
+
+// list writes a server's entry; the lock is held.
+func (p *Platform) list(s *server, state string) {
+	role := "replica"
+	if s.primary {
+		role = "primary"
+	}
+	raw, err := json.Marshal(map[string]any{
+		"Service": s.group.name, "Addr": s.listener.Addr().String(), "Zone": s.zone, "Version": "v1", "Capacity": 5,
+		"State": state, "WarmupLeftMs": 0, "DbRole": role, "Seq": p.version, "born": 1,
+	})
+	if err != nil {
+		panic(err)
+	}
+	p.put(row{rowKey: rowKey{"servers", s.id}, value: raw})
+}
+
+// Switch changes one server under the platform's lock.
+type Switch func(p *Platform, s *server)
+
+// Down has a server refuse and cut all connections, or come back with its log.
+func Down(on bool) Switch {
+	return func(_ *Platform, s *server) {
+		s.down = on
+		s.cut()
+	}
+}
+
+// Dark has a server leave everything unanswered.
+func Dark(on bool) Switch {
+	return func(_ *Platform, s *server) { s.dark = on }
+}
+
+// Deaf has a replica receive nothing.
+func Deaf(on bool) Switch {
+	return func(_ *Platform, s *server) { s.deaf = on }
+}
+
+// Lag has a replica apply entries later.
+func Lag(d time.Duration) Switch {
+	return func(_ *Platform, s *server) { s.lag = d }
+}
+
+// Drain has a server say that it is leaving.
+func Drain() Switch {
+	return func(p *Platform, s *server) { p.list(s, "draining") }
+}
+
+func (s *server) cut() {
+	for c := range s.conns {
+		_ = c.Close()
+		delete(s.conns, c)
+	}
+}
+
+// Set applies a switch to the numbered server of a group, counted from zero.
+func (p *Platform) Set(name string, n int, change Switch) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(p, p.groups[name].servers[n])
+}
+
+// Primary returns the number of the server that leads the newest term, and the term.
+func (p *Platform) Primary(name string) (int, uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.groups[name]
+	return slices.IndexFunc(g.servers, func(s *server) bool { return s.primary && s.term == g.term }), g.term
+}
+
+// Log returns the writes in the log of the group's primary, as "item=data" in order.
+func (p *Platform) Log(name string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.groups[name]
+	var out []string
+	for _, s := range g.servers {
+		if !s.primary || s.term != g.term {
+			continue
+		}
+		for _, e := range s.log {
+			for _, k := range slices.Sorted(mapKeys(e.writes)) {
+				out = append(out, k+"="+e.writes[k])
+			}
+		}
+	}
+	return out
+}
+
+func mapKeys(m map[string]string) func(yield func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+// serveFailover takes an order to promote, and notes when its token is lower than one seen before.
+func (p *Platform) serveFailover(w http.ResponseWriter, r *http.Request) {
+	var body struct{ Service, Id string } //nolint:revive // the platform's spelling
+	token, err := strconv.ParseUint(r.Header.Get("X-Fencing-Token"), 10, 64)
+	if err != nil || json.NewDecoder(r.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if token < p.fences[body.Service] {
+		p.broken = append(p.broken, fmt.Sprintf("token %d after %d for %s", token, p.fences[body.Service], body.Service))
+	}
+	p.fences[body.Service] = token
+	g := p.groups[body.Service]
+	if g == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	for _, s := range g.servers {
+		if s.id == body.Id && !s.down && !s.dark {
+			if !s.primary {
+				time.AfterFunc(g.promote, func() { p.appoint(s) })
+			}
+			return
+		}
+	}
+	w.WriteHeader(http.StatusConflict)
+}
+
+// appoint makes a server lead the next term with what it has received; servers that were ahead are rolled back.
+func (p *Platform) appoint(s *server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := s.group
+	for _, e := range g.acked {
+		if !slices.ContainsFunc(s.log, func(o entry) bool { return o.term == e.term && o.number == e.number }) {
+			p.broken = append(p.broken, fmt.Sprintf("%s promoted without %d.%d", s.id, e.term, e.number))
+		}
+	}
+	g.term++
+	for _, o := range g.servers {
+		o.held = 0
+		if o == s || o.down || o.dark {
+			continue
+		}
+		if !o.primary {
+			o.term = g.term
+			o.log, o.applied = slices.Clone(s.log), slices.Clone(s.applied)
+		}
+	}
+	s.primary, s.term = true, g.term
+	p.list(s, "ready")
+}
+
+// position is where a log ends.
+func (s *server) position() string {
+	if len(s.log) == 0 {
+		return fmt.Sprintf("%d.0", s.term)
+	}
+	e := s.log[len(s.log)-1]
+	return fmt.Sprintf("%d.%d", e.term, e.number)
+}
+
+// visible is how many entries of the log reads show.
+func (s *server) visible() int {
+	if s.primary || s.lag == 0 {
+		return len(s.log)
+	}
+	n := 0
+	for n < len(s.applied) && time.Since(s.applied[n]) >= s.lag {
+		n++
+	}
+	return n
+}
+
+func (s *server) value(item string) string {
+	for i := s.visible() - 1; i >= 0; i-- {
+		if v, ok := s.log[i].writes[item]; ok {
+			return v
+		}
+	}
+	return "none"
+}
+
+// commit appends writes at a primary and hands them to the replicas; false means that none has received them.
+func (s *server) commit(writes map[string]string) bool {
+	number := uint64(1)
+	if n := len(s.log); n > 0 {
+		number = s.log[n-1].number + 1
+	}
+	e := entry{term: s.term, number: number, writes: writes}
+	s.log, s.applied = append(s.log, e), append(s.applied, time.Now())
+	received := false
+	for _, o := range s.group.servers {
+		if o == s || o.down || o.dark || o.deaf || o.primary || o.held != 0 || s.dark || o.term > s.term {
+			continue
+		}
+		o.log, o.applied = slices.Clone(s.log), slices.Clone(s.applied)
+		received = true
+	}
+	if received {
+		s.group.acked = append(s.group.acked, e)
+	}
+	return received
+}
+
+// covers reports whether reads of the server show a position.
+func (s *server) covers(position string) bool {
+	var term, number uint64
+	if _, err := fmt.Sscanf(strings.Replace(position, ".", " ", 1), "%d %d", &term, &number); err != nil {
+		return false
+	}
+	n := s.visible()
+	if n == 0 {
+		return number == 0
+	}
+	e := s.log[n-1]
+	return e.term > term && e.number >= number || e.term == term && e.number >= number
+}
