Detect a dead primary by replicas that stand still, and pause nobody while one of them does not answer

Cause: tests that play a group around the watch failed: a primary that fed its replicas was replaced, one cut off from them was not for want of probes, one that the platform no longer lists neither, replicas were paused over and over while another was silent, and a promise from before a restart counted. Writes that stall now put a group on alert.

--- a/internal/caller/kind.go
+++ b/internal/caller/kind.go
@@ -159,11 +159,11 @@
 }
 
 // doubt tells control that a server did not answer as it should.
-func (l *Lane) doubt(now time.Duration, server string) {
+func (l *Lane) doubt(now time.Duration, server string, stalled bool) {
 	row, ok := l.servers.Get(server)
 	if !ok || row.Doubted != 0 && now < row.Doubted+hearEvery {
 		return
 	}
 	l.servers.Put(server, row.WithDoubted(now))
-	l.out = append(l.out, Doubted{Server: server})
+	l.out = append(l.out, Doubted{Server: server, Stalled: stalled})
 }
--- a/internal/caller/messages.go
+++ b/internal/caller/messages.go
@@ -260,9 +260,10 @@
 	At     time.Duration
 }
 
-// Doubted tells control that a server did not answer as it should.
+// Doubted tells control that a server did not answer as it should; Stalled says that the answer to a write is missing.
 type Doubted struct {
-	Server string
+	Server  string
+	Stalled bool
 }
 
 func (Heard) callerAction()          {}
--- a/internal/caller/pool.go
+++ b/internal/caller/pool.go
@@ -57,7 +57,7 @@
 		return
 	}
 	row, _ := l.servers.Get(c.Server)
-	l.doubt(now, c.Server)
+	l.doubt(now, c.Server, false)
 	row, _ = l.servers.Get(c.Server)
 	row = row.WithOpening(-1).WithRetry(now + ConnectBackoff/2 + l.jitter(ConnectBackoff/2))
 	l.servers.Put(c.Server, row)
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -79,6 +79,11 @@
 	return r.Statement.Kind != KindCommit || e.Tag == "COMMIT"
 }
 
+// commits reports whether a request asks for something to be committed.
+func commits(r Request) bool {
+	return r.Statement.Kind == KindWrite && r.Joined == 0 || r.Statement.Kind == KindCommit
+}
+
 // commitsWrite reports whether an answer means that a write was acknowledged; s is the session before the answer. A commit of
 // what only read says nothing, since no replica has to receive anything for it.
 func commitsWrite(s Session, r Request, e Replied) bool {
@@ -159,7 +164,7 @@
 		return
 	}
 	r, known := l.requests.Get(e.Request)
-	l.doubt(now, c.Server)
+	l.doubt(now, c.Server, false)
 	l.forgetConn(e.Conn)
 	if !known {
 		return
--- a/internal/caller/settle.go
+++ b/internal/caller/settle.go
@@ -71,7 +71,7 @@
 
 func (l *Lane) expire(now time.Duration, r Request) {
 	if now < r.Deadline && (r.Phase == PhaseRunning || r.Phase == PhaseProving) {
-		l.doubt(now, r.Server)
+		l.doubt(now, r.Server, commits(r))
 		l.requests.Wake(r.ID, r.Deadline)
 		return
 	}
--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -182,7 +182,7 @@
 	l.Callers = n.front.Callers()
 	l.Hold = n.servers.Witness(group)
 	l.Heard = func(a caller.Heard) { n.thread.Post(upstream.Heard{Server: a.Server, At: a.At}) }
-	l.Doubted = func(a caller.Doubted) { n.thread.Post(upstream.Doubted{Server: a.Server}) }
+	l.Doubted = func(a caller.Doubted) { n.thread.Post(upstream.Doubted{Server: a.Server, Stalled: a.Stalled}) }
 	l.Dial = func(ctx context.Context, a caller.Open, post func(caller.Event)) (traffic.Upstream, error) {
 		u, err := platform.DialUpstream(ctx, n.front, group, n.settings.Node, a, post)
 		if err != nil {
--- a/internal/upstream/appointed.go
+++ b/internal/upstream/appointed.go
@@ -11,6 +11,9 @@
 	CauseLeaving = "leaving"
 )
 
+// stillFor is how long a replica must be seen to receive nothing, several times what lies between two writes of a group in use.
+const stillFor = 400 * time.Millisecond
+
 // Appointed is the kind of group whose primary the platform appoints by order of the lease's holder. A primary there
 // acknowledges a commit only when a replica has received it, so a promotion that has paused every replica has fenced it, and
 // the longest of their logs holds all that was acknowledged.
@@ -58,11 +61,13 @@
 		return CauseUnfinished
 	case !e.hasSuccessor():
 		return ""
+	case !known && g.Term != 0:
+		return CauseNone
 	case known && p.Leaves():
 		return CauseLeaving
 	case known && p.Refusals >= RefusalsNeeded:
 		return CauseClosed
-	case g.Headless != 0 && e.Now-g.Headless >= e.Times.Silence && !e.replicasAdvance():
+	case g.Headless != 0 && e.Now-g.Headless >= e.Times.Silence && e.replicasStill():
 		if known {
 			return CauseSilent
 		}
@@ -80,10 +85,10 @@
 	})
 }
 
-// replicasAdvance reports whether a replica has lately received something, which only a living primary sends.
-func (e Evidence) replicasAdvance() bool {
-	return slices.ContainsFunc(replicasOf(e), func(s Server) bool {
-		return s.Advanced != 0 && e.Now-s.Advanced < e.Times.Silence
+// replicasStill reports whether no replica that answers has received anything for a while, as a living primary would send.
+func (e Evidence) replicasStill() bool {
+	return !slices.ContainsFunc(replicasOf(e), func(s Server) bool {
+		return s.Fresh(e.Now, e.Times.FreshFor) && (e.Now-s.Asked > e.Times.Silence || s.Asked-s.Still < stillFor)
 	})
 }
 
--- /dev/null
+++ b/internal/upstream/appointed_test.go
@@ -0,0 +1,480 @@
+package upstream_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"buckthornport.example/buckthornport/internal/operator"
+	"buckthornport.example/buckthornport/internal/upstream"
+	"buckthornport.example/buckthornport/pkg/session"
+)
+
+// rig plays a group of three servers, the store's lease and the platform's orders around one watch, all answers after 1 ms.
+type rig struct {
+	c       *qt.C
+	w       *upstream.Watch
+	now     time.Duration
+	status  map[string]upstream.Status
+	silent  map[string]bool
+	refuses map[string]bool
+	lease   upstream.Lease
+	// storeDown leaves questions about the lease unanswered, storeLate answers takings after so long.
+	storeDown bool
+	storeLate time.Duration
+	pending   []pendingEvent
+	ordered   []upstream.OrderPromote
+	paused    []string
+	resumed   []string
+	view      upstream.GroupView
+	notes     []operator.Record
+}
+
+type pendingEvent struct {
+	at time.Duration
+	e  upstream.Event
+}
+
+func newRig(c *qt.C) *rig {
+	c.Helper()
+	w, err := upstream.NewWatch("n0", upstream.WithKind(upstream.Appointed()))
+	c.Assert(err, qt.IsNil)
+	r := &rig{
+		c: c, w: w, now: time.Second, silent: map[string]bool{}, refuses: map[string]bool{}, status: map[string]upstream.Status{
+			"p": {Role: upstream.RolePrimary, Term: 1, Position: at(1, 100)},
+			"a": {Role: upstream.RoleReplica, Term: 1, Position: at(1, 100)},
+			"b": {Role: upstream.RoleReplica, Term: 1, Position: at(1, 100)},
+		},
+	}
+	for _, n := range []string{"p", "a", "b"} {
+		r.tell(r.entry(n, false))
+	}
+	r.tell(upstream.Served{Group: "g", On: true})
+	r.run(100 * time.Millisecond)
+	c.Assert(r.view.Primary, qt.Equals, "p")
+	return r
+}
+
+func at(term, offset uint64) session.Position {
+	return session.Position{Term: term, Offset: offset}
+}
+
+func (r *rig) entry(server string, leaving bool) upstream.Event {
+	return upstream.Configured{Server: server, Group: "g", Zone: "z", Address: server, Leaving: leaving}
+}
+
+func (r *rig) tell(es ...upstream.Event) {
+	as, _ := r.w.Step(r.now, es)
+	for _, a := range as {
+		r.perform(a)
+	}
+}
+
+// run lets time pass in steps of 1 ms.
+func (r *rig) run(d time.Duration) {
+	for end := r.now + d; r.now < end; {
+		r.now += time.Millisecond
+		var due []upstream.Event
+		var rest []pendingEvent
+		for _, p := range r.pending {
+			if p.at <= r.now {
+				due = append(due, p.e)
+			} else {
+				rest = append(rest, p)
+			}
+		}
+		r.pending = rest
+		r.tell(due...)
+	}
+}
+
+func (r *rig) later(e upstream.Event) {
+	r.pending = append(r.pending, pendingEvent{r.now + time.Millisecond, e})
+}
+
+func (r *rig) perform(a upstream.Action) {
+	switch a := a.(type) {
+	case upstream.Probe:
+		if r.refuses[a.Server] {
+			r.later(upstream.ProbeFailed{Server: a.Server, Refused: true})
+		} else if !r.silent[a.Server] {
+			r.later(upstream.Probed{Server: a.Server, Sent: a.Sent, Status: r.status[a.Server]})
+		}
+	case upstream.AskPromise:
+		if st := r.status[a.Server]; !r.silent[a.Server] && !r.refuses[a.Server] {
+			if st.Role == upstream.RoleReplica {
+				st.Promised = a.Term
+			}
+			r.status[a.Server] = st
+			r.paused = append(r.paused, a.Server)
+			r.later(upstream.Promised{Server: a.Server, Term: a.Term, Granted: st.Role == upstream.RoleReplica, Status: st})
+		}
+	case upstream.OrderResume:
+		st := r.status[a.Server]
+		st.Promised = 0
+		r.status[a.Server] = st
+		r.resumed = append(r.resumed, a.Server)
+	case upstream.OrderPromote:
+		r.ordered = append(r.ordered, a)
+		r.later(upstream.Promoted{Server: a.Server, Term: a.Term, Accepted: true})
+	case upstream.Publish:
+		r.view = a.View
+	case upstream.Note:
+		r.notes = append(r.notes, a.Record)
+	default:
+		r.performLease(a)
+	}
+}
+
+func (r *rig) performLease(a upstream.Action) {
+	if r.storeDown {
+		return
+	}
+	switch a := a.(type) {
+	case upstream.ReadLease:
+		r.later(upstream.LeaseRead{Group: "g", Lease: r.lease})
+	case upstream.TakeLease:
+		if a.Lease.Version != r.lease.Version {
+			r.later(upstream.LeaseRead{Group: "g", Lease: r.lease})
+			return
+		}
+		r.lease = a.Lease
+		r.lease.Version++
+		r.pending = append(r.pending, pendingEvent{
+			r.now + r.storeLate + time.Millisecond, upstream.LeaseTaken{Group: "g", Lease: r.lease, Sent: a.Sent},
+		})
+	case upstream.FreeLease:
+		if a.Lease.Version == r.lease.Version {
+			r.lease.Holder = ""
+			r.lease.Version++
+		}
+	}
+}
+
+// appoint plays the platform carrying out an order.
+func (r *rig) appoint(server string) {
+	term := uint64(0)
+	for _, st := range r.status {
+		term = max(term, st.Term)
+	}
+	for n, st := range r.status {
+		st.Promised = 0
+		if n != "p" || server == "p" {
+			st.Term = term + 1
+		}
+		if n == server {
+			st.Role = upstream.RolePrimary
+		}
+		r.status[n] = st
+	}
+}
+
+func (r *rig) hold(server string, p session.Position) {
+	st := r.status[server]
+	st.Position = p
+	r.status[server] = st
+}
+
+func assertOrdered(r *rig, servers ...string) {
+	r.c.Helper()
+	var got []string
+	for _, o := range r.ordered {
+		got = append(got, o.Server)
+	}
+	r.c.Assert(got, qt.DeepEquals, servers, qt.Commentf("paused %v, notes %v", r.paused, r.notes))
+}
+
+func assertNobodyPaused(r *rig) {
+	r.c.Helper()
+	for n, st := range r.status {
+		r.c.Assert(st.Promised, qt.Equals, uint64(0), qt.Commentf("%s", n))
+	}
+}
+
+func TestAppointedDetection(t *testing.T) {
+	for _, k := range []struct {
+		name   string
+		fail   func(r *rig)
+		within time.Duration
+	}{
+		{"refuses connections", func(r *rig) { r.refuses["p"] = true }, 2 * time.Second},
+		{"is silent", func(r *rig) { r.silent["p"] = true }, 2500 * time.Millisecond},
+		{"is to leave", func(r *rig) { r.tell(r.entry("p", true)) }, time.Second},
+		{"is gone", func(r *rig) { r.tell(upstream.Removed{Server: "p"}) }, 2500 * time.Millisecond},
+		{"is cut off from its replicas", func(r *rig) {
+			r.hold("p", at(1, 120))
+			r.tell(upstream.Doubted{Server: "p", Stalled: true})
+		}, 2500 * time.Millisecond},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			r := newRig(qt.New(t))
+			k.fail(r)
+			r.run(k.within)
+			assertOrdered(r, "a")
+		})
+	}
+	t.Run("is well", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.run(20 * time.Second)
+		assertOrdered(r)
+		r.c.Assert(r.paused, qt.HasLen, 0)
+	})
+	t.Run("is silent here and yet feeds its replicas", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.silent["p"] = true
+		for i := range 60 {
+			r.hold("a", at(1, 101+uint64(i)))
+			r.run(100 * time.Millisecond)
+		}
+		assertOrdered(r)
+	})
+	t.Run("moved on while its replicas were not asked", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		for i := range 50 {
+			p := at(1, 101+uint64(i))
+			r.hold("p", p)
+			r.hold("a", p)
+			r.hold("b", p)
+			r.run(200 * time.Millisecond)
+		}
+		assertOrdered(r)
+	})
+}
+
+func TestAppointedChoice(t *testing.T) {
+	t.Run("the longest log", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.hold("a", at(1, 90))
+		r.refuses["p"] = true
+		r.run(2 * time.Second)
+		assertOrdered(r, "b")
+	})
+	t.Run("of equal logs the server that stays", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.tell(r.entry("a", true))
+		r.refuses["p"] = true
+		r.run(2 * time.Second)
+		assertOrdered(r, "b")
+	})
+	t.Run("nobody while a replica cannot be asked", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.refuses["p"] = true
+		r.silent["b"] = true
+		r.run(6 * time.Second)
+		assertOrdered(r)
+		r.c.Assert(r.status["a"].Promised, qt.Equals, uint64(0), qt.Commentf("left paused between attempts"))
+	})
+	t.Run("the other once that replica is gone", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.refuses["p"] = true
+		r.silent["b"] = true
+		r.run(2 * time.Second)
+		r.tell(upstream.Removed{Server: "b"})
+		r.run(2 * time.Second)
+		assertOrdered(r, "a")
+	})
+	t.Run("nobody that lacks what a replica had before it was gone", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.hold("a", at(1, 90))
+		r.run(4 * time.Second)
+		r.tell(upstream.Removed{Server: "b"})
+		r.refuses["p"] = true
+		r.run(4 * time.Second)
+		assertOrdered(r)
+		assertNobodyPaused(r)
+	})
+	t.Run("nobody that lags behind what the last promotion chose", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.hold("b", at(1, 40))
+		r.refuses["p"] = true
+		r.run(2 * time.Second)
+		assertOrdered(r, "a")
+		r.appoint("a")
+		r.run(500 * time.Millisecond)
+		r.c.Assert(r.view.Primary, qt.Equals, "a")
+		r.tell(upstream.Removed{Server: "p"})
+		r.refuses["a"] = true
+		r.run(4 * time.Second)
+		assertOrdered(r, "a")
+		r.c.Assert(r.lease.Floor, qt.Equals, at(1, 100))
+	})
+	t.Run("a replica that started again promised nothing", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.refuses["p"] = true
+		for len(r.paused) < 2 {
+			r.run(time.Millisecond)
+		}
+		r.tell(upstream.Configured{Server: "b", Group: "g", Zone: "z", Address: "b", Born: 2})
+		r.silent["b"] = true
+		r.run(100 * time.Millisecond)
+		assertOrdered(r)
+	})
+}
+
+func TestAppointedLease(t *testing.T) {
+	t.Run("of another node is waited for", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.lease = upstream.Lease{Token: 7, Holder: "n1", Version: 3}
+		r.refuses["p"] = true
+		r.run(4 * time.Second)
+		assertOrdered(r)
+		r.run(4 * time.Second)
+		assertOrdered(r, "a")
+		r.c.Assert(r.ordered[0].Token > 7, qt.IsTrue)
+	})
+	t.Run("that comes too late is not used", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.storeLate = upstream.LeaseTerm
+		r.refuses["p"] = true
+		r.run(12 * time.Second)
+		assertOrdered(r)
+		r.c.Assert(r.paused, qt.HasLen, 0)
+	})
+	t.Run("that the store does not give keeps everyone as they are", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.storeDown = true
+		r.refuses["p"] = true
+		r.run(6 * time.Second)
+		assertOrdered(r)
+		r.c.Assert(r.paused, qt.HasLen, 0)
+		r.storeDown = false
+		r.run(3 * time.Second)
+		assertOrdered(r, "a")
+	})
+	t.Run("is given back when the promotion is over", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.refuses["p"] = true
+		r.run(1500 * time.Millisecond)
+		r.appoint("a")
+		r.run(500 * time.Millisecond)
+		r.c.Assert(r.view.Primary, qt.Equals, "a")
+		r.c.Assert(r.lease.Holder, qt.Equals, "")
+	})
+	t.Run("tokens only grow", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.refuses["p"] = true
+		r.run(20 * time.Second)
+		last := uint64(0)
+		for _, o := range r.ordered {
+			r.c.Assert(o.Token > last, qt.IsTrue)
+			last = o.Token
+		}
+		r.c.Assert(len(r.ordered) > 1, qt.IsTrue, qt.Commentf("an order without effect is repeated"))
+	})
+}
+
+func TestAppointedAbandoned(t *testing.T) {
+	t.Run("a pause that another node left is ended under the lease", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		for _, n := range []string{"a", "b"} {
+			st := r.status[n]
+			st.Promised = 2
+			r.status[n] = st
+		}
+		r.run(12 * time.Second)
+		assertNobodyPaused(r)
+		assertOrdered(r)
+		r.c.Assert(r.lease.Token > 0, qt.IsTrue)
+	})
+	t.Run("a primary that comes back before the order keeps its place", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.refuses["p"] = true
+		for len(r.paused) == 0 {
+			r.run(time.Millisecond)
+		}
+		delete(r.refuses, "p")
+		r.tell(upstream.Probed{Server: "p", Sent: r.now, Status: r.status["p"]})
+		r.run(3 * time.Second)
+		assertOrdered(r)
+		assertNobodyPaused(r)
+	})
+}
+
+func TestEvidenceOfLeadership(t *testing.T) {
+	led := func(r *rig) time.Duration {
+		r.run(4 * time.Second)
+		return r.view.LedAt
+	}
+	t.Run("a replica that follows gives it", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.c.Assert(led(r) > 2*time.Second, qt.IsTrue)
+	})
+	for _, k := range []struct {
+		name string
+		st   upstream.Status
+	}{
+		{"a paused replica", upstream.Status{Role: upstream.RoleReplica, Term: 1, Promised: 2, Position: at(1, 100)}},
+		{"a replica of a newer term", upstream.Status{Role: upstream.RoleReplica, Term: 2, Position: at(2, 100)}},
+	} {
+		t.Run(k.name+" gives none", func(t *testing.T) {
+			r := newRig(qt.New(t))
+			r.storeDown = true
+			r.status["a"], r.status["b"] = k.st, k.st
+			r.c.Assert(led(r) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", r.view.LedAt))
+		})
+	}
+	t.Run("a primary that stepped down gives none about itself", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.storeDown = true
+		r.silent["a"], r.silent["b"] = true, true
+		r.status["p"] = upstream.Status{Role: upstream.RoleReplica, Term: 1, Position: at(1, 100)}
+		r.c.Assert(led(r) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", r.view.LedAt))
+	})
+}
+
+func TestTrafficSavesProbes(t *testing.T) {
+	probes := func(heard bool) int {
+		r := newRig(qt.New(t))
+		n := 0
+		for range 100 {
+			if heard {
+				r.tell(upstream.Heard{Server: "p", At: r.now}, upstream.Heard{Server: "a", At: r.now}, upstream.Heard{Server: "b", At: r.now})
+			}
+			before := len(r.pending)
+			r.run(100 * time.Millisecond)
+			n += max(0, len(r.pending)-before)
+		}
+		return n
+	}
+	t.Run("none are sent to servers that answer requests", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		asked := 0
+		for range 200 {
+			for _, n := range []string{"p", "a", "b"} {
+				r.tell(upstream.Heard{Server: n, At: r.now})
+			}
+			as, _ := r.w.Step(r.now, nil)
+			for _, a := range as {
+				if _, ok := a.(upstream.Probe); ok {
+					asked++
+				}
+			}
+			r.run(20 * time.Millisecond)
+		}
+		c.Assert(asked, qt.Equals, 0)
+		c.Assert(probes(true) <= probes(false), qt.IsTrue)
+	})
+	t.Run("doubt asks at once, but not about a server just heard", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.run(700 * time.Millisecond)
+		as, _ := r.w.Step(r.now, []upstream.Event{upstream.Doubted{Server: "p"}})
+		c.Assert(fmt.Sprintf("%T", firstProbe(as)), qt.Equals, "upstream.Probe")
+		r = newRig(c)
+		r.tell(upstream.Heard{Server: "p", At: r.now})
+		as, _ = r.w.Step(r.now, []upstream.Event{upstream.Doubted{Server: "p"}})
+		c.Assert(firstProbe(as), qt.IsNil)
+	})
+}
+
+func firstProbe(as []upstream.Action) upstream.Action {
+	for _, a := range as {
+		if p, ok := a.(upstream.Probe); ok {
+			return p
+		}
+	}
+	return nil
+}
--- a/internal/upstream/limits.go
+++ b/internal/upstream/limits.go
@@ -33,6 +33,9 @@
 	// PauseLimit is the lateness of a tick after which the node distrusts its own evidence.
 	PauseLimit = 150 * time.Millisecond
 
+	// alertFor is how long a group is probed at the shorter interval after a write stalled.
+	alertFor = time.Second
+
 	// Watchers is how many nodes watch a group that their own callers do not use; all nodes of a small fleet do.
 	Watchers = 8
 
--- a/internal/upstream/messages.go
+++ b/internal/upstream/messages.go
@@ -55,9 +55,11 @@
 	At     time.Duration
 }
 
-// Doubted says that traffic met a server that did not answer as it should, so that it is worth a probe at once.
+// Doubted says that traffic met a server that did not answer as it should, so that it is worth a probe at once; Stalled says
+// that the answer to a write is missing.
 type Doubted struct {
-	Server string
+	Server  string
+	Stalled bool
 }
 
 // Learned is a route that a peer or the platform's store reported.
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -32,7 +32,10 @@
 	case s.Sent == 0:
 		return now
 	}
-	return max(now, max(s.Sent, s.Heard)+w.interval(s))
+	if s.Doubt != 0 {
+		return max(now, s.Sent+w.kind.Times.ProbeSoon)
+	}
+	return max(now, max(s.Sent, s.Heard)+w.interval(now, s))
 }
 
 // sendProbes asks each server that is due for its status.
--- a/internal/upstream/promote.go
+++ b/internal/upstream/promote.go
@@ -84,9 +84,14 @@
 	}
 }
 
-// askPromises asks the voters for their promise at a term above every promise known.
+// askPromises asks the voters for their promise at a term above every promise known. Where all of them are needed, nobody is
+// asked while one does not answer.
 func (w *Watch) askPromises(now time.Duration, g Group, p Promotion) {
 	e := w.evidence(now, g)
+	if w.kind.Leases && slices.ContainsFunc(w.kind.Voters(e), func(s Server) bool { return s.owes() }) {
+		w.giveUp(now, g, p)
+		return
+	}
 	p.Term = g.Term
 	for _, s := range e.Servers {
 		p.Term = max(p.Term, s.Status.Promised, s.Status.Term)
--- a/internal/upstream/rows.go
+++ b/internal/upstream/rows.go
@@ -32,9 +32,6 @@
 	Lag time.Duration `json:"lag_ns,omitempty"`
 }
 
-// advanceWindow is the longest time between two probes whose positions tell when a server received something.
-const advanceWindow = 500 * time.Millisecond
-
 // Server is the row of one database server; times count from the start of the node.
 type Server struct {
 	Name      string
@@ -54,8 +51,10 @@
 	Doubt time.Duration
 	// Asked is when the probe left that brought Status.
 	Asked time.Duration
-	// Advanced is when the server was last seen to hold more of the log than before.
-	Advanced time.Duration
+	// Before is what the status before the present one told.
+	Before Sample
+	// Still is since when probes have found the server to hold the same log.
+	Still time.Duration
 	// Leaving is what the bundle says, Listed what the platform's list of VMs says.
 	Leaving bool
 	Listed  bool
@@ -72,10 +71,11 @@
 func (s Server) WithStatus(sent time.Duration, st Status) Server {
 	s.Probing = false
 	s.Known = true
-	if st.Position.Compare(s.Status.Position) > 0 && sent-s.Asked <= advanceWindow {
-		s.Advanced = sent
+	if st.Position != s.Status.Position {
+		s.Still = sent
 	}
 	s = s.WithHeard(max(s.Heard, sent))
+	s.Before = Sample{At: s.Asked, Position: s.Status.Position}
 	s.Asked = sent
 	s.Status = st
 	return s
@@ -149,6 +149,11 @@
 	return s
 }
 
+// owes reports whether the server has not answered a probe as it should.
+func (s Server) owes() bool {
+	return !s.Known || s.Refusals > 0 || s.FirstMiss != 0 || s.Doubt != 0
+}
+
 // Fresh reports whether the last answer is young enough to count as evidence.
 func (s Server) Fresh(now, limit time.Duration) bool {
 	return s.Known && s.Refusals == 0 && now-s.Heard <= limit
@@ -170,6 +175,8 @@
 	Watched  bool
 	// LedAt is when the probe left whose answer last showed that the primary had not been replaced.
 	LedAt time.Duration
+	// Alert is until when the group is probed at the shorter interval because a write stalled.
+	Alert time.Duration
 	// Headless is since when no server has shown itself as primary, zero while one does.
 	Headless time.Duration
 	// Stuck is since when no replica has received what the primary held, zero while one has.
@@ -184,6 +191,12 @@
 	return g
 }
 
+// WithAlert returns the row of a group that is watched closely until a moment.
+func (g Group) WithAlert(until time.Duration) Group {
+	g.Alert = until
+	return g
+}
+
 // WithHeadless returns the row without a primary that shows itself since a moment, or zero for none.
 func (g Group) WithHeadless(since time.Duration) Group {
 	g.Headless = since
--- a/internal/upstream/suspect.go
+++ b/internal/upstream/suspect.go
@@ -89,11 +89,15 @@
 	}
 	later, behind := 0, 0
 	for _, s := range w.rows(g) {
-		if s.Name == g.Primary || !s.Known || s.Asked <= p.Asked {
+		had := Sample{At: p.Asked, Position: p.Status.Position}
+		if s.Asked <= p.Asked {
+			had = p.Before
+		}
+		if s.Name == g.Primary || !s.Known || s.Asked <= had.At {
 			continue
 		}
 		later++
-		if !s.Status.Position.Covers(p.Status.Position) {
+		if !s.Status.Position.Covers(had.Position) {
 			behind++
 		}
 	}
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -172,7 +172,7 @@
 	case Heard:
 		w.hear(e)
 	case Doubted:
-		w.doubt(now, e.Server)
+		w.doubt(now, e)
 	case Removed:
 		w.remove(now, e.Server)
 	case LeaseRead:
@@ -220,7 +220,7 @@
 		w.groups.Put(e.Group, g.WithServer(e.Group, e.Server).WithDuty(g.Served, true))
 	}
 	if known && s.Born != e.Born {
-		w.reborn(s)
+		w.reborn(now, s)
 		s = Server{Name: e.Server, Group: e.Group}
 	}
 	s.Zone = e.Zone
@@ -237,20 +237,27 @@
 	}
 }
 
-// doubt probes a server of which nothing was heard lately, and the others of its group soon.
-func (w *Watch) doubt(now time.Duration, server string) {
-	if s, ok := w.servers.Get(server); ok && !s.Probing && now-s.Heard >= w.kind.Times.DoubtAfter {
-		w.servers.Wake(server, max(now, s.Sent+w.kind.Times.ProbeSoon))
-		w.servers.Put(server, s.WithDoubt(now))
-		w.hurry(now, s.Group)
+// doubt probes a server of which nothing was heard lately, and the others of its group soon. A primary may go on answering
+// reads while no replica receives its writes.
+func (w *Watch) doubt(now time.Duration, e Doubted) {
+	s, ok := w.servers.Get(e.Server)
+	if !ok || s.Probing || !e.Stalled && now-s.Heard < w.kind.Times.DoubtAfter {
+		return
 	}
+	s = s.WithDoubt(now)
+	w.servers.Put(s.Name, s)
+	w.servers.Wake(s.Name, max(now, s.Sent+w.kind.Times.ProbeSoon))
+	if g, ok := w.groups.Get(s.Group); ok && e.Stalled {
+		w.groups.Put(g.Name, g.WithAlert(now+alertFor))
+	}
+	w.hurry(now, s.Group)
 }
 
-// reborn drops what a server said in an earlier life, above all its promise.
-func (w *Watch) reborn(s Server) {
+// reborn begins a promotion anew whose promises may stem from an earlier life of a server.
+func (w *Watch) reborn(now time.Duration, s Server) {
 	w.note(operator.Record{Kind: operator.KindMember, Group: s.Group, Server: s.Name, Cause: "restarted"})
 	if p, ok := w.promotions.Get(s.Group); ok && p.Stage != StageOpening {
-		w.promotions.Put(p.Group, p.WithoutPromise(s.Name))
+		w.retry(now, p)
 	}
 }
 
@@ -357,9 +364,9 @@
 }
 
 // interval returns the time between probes of a server, shorter while its group is in doubt.
-func (w *Watch) interval(s Server) time.Duration {
+func (w *Watch) interval(now time.Duration, s Server) time.Duration {
 	g, _ := w.groups.Get(s.Group)
-	if _, ok := w.promotions.Get(s.Group); ok || g.Suspect || g.Stuck != 0 && w.kind.Leases {
+	if _, ok := w.promotions.Get(s.Group); ok || g.Suspect || w.kind.Leases && (g.Stuck != 0 || g.Headless != 0 || now < g.Alert) {
 		return w.kind.Times.ProbeSoon
 	}
 	if p, ok := w.servers.Get(g.Primary); ok && (p.FirstMiss != 0 || p.Doubt != 0) {
