--- /dev/null
+++ b/internal/caller/appointed_test.go
@@ -0,0 +1,326 @@
+package caller_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"buckthornport.example/buckthornport/internal/caller"
+	"buckthornport.example/buckthornport/internal/upstream"
+	"buckthornport.example/buckthornport/pkg/bundle"
+	"buckthornport.example/buckthornport/pkg/session"
+)
+
+// lane is a lane of an appointed group with one connection to each server.
+type lane struct {
+	*bench
+	c     *qt.C
+	conns map[string]caller.ConnID
+	next  map[caller.SessionID]uint64
+}
+
+func newLane(c *qt.C) *lane {
+	c.Helper()
+	d, err := caller.NewLane("g", "z0", caller.WithKind(caller.Appointed(func(string) int { return 0 })),
+		caller.WithPolicy(caller.Quickest(func(string) int { return 0 })),
+		caller.WithViolated(func(invariant, detail string) { c.Errorf("%s: %s", invariant, detail) }))
+	c.Assert(err, qt.IsNil)
+	l := &lane{
+		c: c, conns: map[string]caller.ConnID{}, next: map[caller.SessionID]uint64{},
+		bench: &bench{lane: d, now: 10 * time.Second, view: upstream.GroupView{
+			Name: "g", Term: 1, Primary: "p", EvidenceTTL: 250 * time.Millisecond,
+		}},
+	}
+	for _, n := range []string{"p", "r0", "r1"} {
+		l.view.Servers = append(l.view.Servers, upstream.ServerView{Name: n, Alive: true, Term: 1})
+		l.step(caller.Limited{Server: n, Slots: 4, Conns: 4})
+	}
+	l.step(caller.Viewed{View: l.view})
+	return l
+}
+
+// ask asks in a session and opens whatever connections that takes.
+func (l *lane) ask(id caller.SessionID, s caller.Statement) []caller.Action {
+	if l.next[id] == 0 {
+		l.step(caller.SessionOpened{Session: id, HasFloor: true})
+	}
+	l.next[id]++
+	return l.settle(l.step(caller.Asked{Session: id, Seq: l.next[id], Statement: s}))
+}
+
+// settle lets connections open until none is opened any more.
+func (l *lane) settle(as []caller.Action) []caller.Action {
+	for i := 0; i < len(as); i++ {
+		if o, ok := as[i].(caller.Open); ok {
+			as = append(as, l.step(caller.ConnOpened{Conn: o.Conn})...)
+		}
+	}
+	return as
+}
+
+func (l *lane) reply(s caller.Send, offset uint64) []caller.Action {
+	return l.settle(l.step(caller.Replied{Conn: s.Conn, Request: s.Request, Position: session.Position{Term: 1, Offset: offset}}))
+}
+
+func (l *lane) wait(d time.Duration) []caller.Action {
+	l.now += d
+	return l.settle(l.step())
+}
+
+// prove answers the question for evidence among the actions.
+func (l *lane) prove(as []caller.Action, term uint64) []caller.Action {
+	p := only[caller.Prove](l.c, as)
+	l.c.Assert(p.Server, qt.Not(qt.Equals), "p", qt.Commentf("a primary is no witness of its own lead"))
+	return l.settle(l.step(caller.Proven{Proof: p.Proof, Term: term}))
+}
+
+// warm opens a connection to a replica, after a write that gives a sample of the primary's position.
+func (l *lane) warm() {
+	l.c.Helper()
+	l.reply(only[caller.Send](l.c, l.ask(1, write)), 21)
+	l.now += 100 * time.Millisecond
+	l.reply(only[caller.Send](l.c, l.ask(99, agedRead)), 21)
+	l.now += 100 * time.Millisecond
+}
+
+func has[T caller.Action](as []caller.Action) bool {
+	for _, a := range as {
+		if _, ok := a.(T); ok {
+			return true
+		}
+	}
+	return false
+}
+
+func assertHeldBack(l *lane, as []caller.Action) {
+	l.c.Helper()
+	l.c.Assert(has[caller.Release](as), qt.IsFalse)
+	l.c.Assert(has[caller.Refuse](as), qt.IsFalse)
+}
+
+func assertReleased(l *lane, as []caller.Action) {
+	l.c.Helper()
+	only[caller.Release](l.c, as)
+}
+
+var (
+	class     = bundle.Class{Name: "books", DeadlineMS: 1000}
+	freshRead = caller.Statement{Kind: caller.KindRead, Class: class}
+	write     = caller.Statement{Kind: caller.KindWrite, Class: class}
+	begin     = caller.Statement{Kind: caller.KindBegin, Class: class}
+	commit    = caller.Statement{Kind: caller.KindCommit, Class: class}
+	agedRead  = caller.Statement{Kind: caller.KindRead, Class: bundle.Class{Name: "board", DeadlineMS: 1000, MaxAgeMS: 1500}}
+)
+
+func TestReadsAtThePrimary(t *testing.T) {
+	t.Run("wait for evidence from after their arrival", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		as := l.ask(1, freshRead)
+		s := only[caller.Send](l.c, as)
+		l.c.Assert(s.Hold, qt.IsTrue)
+		assertHeldBack(l, l.reply(s, 20))
+		assertReleased(l, l.prove(as, 1))
+	})
+	t.Run("need no more evidence for its lifetime", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		as := l.ask(1, freshRead)
+		l.prove(as, 1)
+		assertReleased(l, l.reply(only[caller.Send](l.c, as), 20))
+		l.now += 90 * time.Millisecond
+		as = l.ask(2, freshRead)
+		l.c.Assert(has[caller.Prove](as), qt.IsFalse)
+		assertReleased(l, l.reply(only[caller.Send](l.c, as), 20))
+		l.now += 20 * time.Millisecond
+		as = l.ask(3, freshRead)
+		l.c.Assert(has[caller.Prove](as), qt.IsTrue)
+		assertHeldBack(l, l.reply(only[caller.Send](l.c, as), 20))
+	})
+	t.Run("take no evidence of another term", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		as := l.ask(1, freshRead)
+		l.reply(only[caller.Send](l.c, as), 20)
+		assertHeldBack(l, l.prove(as, 2))
+	})
+	t.Run("are refused when none comes", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		l.reply(only[caller.Send](l.c, l.ask(1, freshRead)), 20)
+		l.wait(500 * time.Millisecond)
+		r := only[caller.Refuse](l.c, l.wait(600*time.Millisecond))
+		l.c.Assert(r.Refusal.Reason, qt.Equals, caller.ReasonCut)
+	})
+	t.Run("are asked again when the primary was replaced meanwhile", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		l.reply(only[caller.Send](l.c, l.ask(1, freshRead)), 20)
+		v := l.view
+		v.Term, v.Primary, v.LedAt = 2, "r0", l.now
+		as := l.settle(l.step(caller.Viewed{View: v}))
+		assertHeldBack(l, as)
+		s := only[caller.Send](l.c, as)
+		assertReleased(l, l.settle(l.step(caller.Replied{Conn: s.Conn, Request: s.Request, Position: session.Position{Term: 2, Offset: 9}})))
+	})
+	t.Run("are not sent to a primary that is being replaced", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		v := l.view
+		v.Fenced = true
+		l.step(caller.Viewed{View: v})
+		l.c.Assert(has[caller.Send](l.ask(1, freshRead)), qt.IsFalse)
+	})
+}
+
+func TestEvidenceFromWrites(t *testing.T) {
+	t.Run("a write that a replica has received shows who leads", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		assertReleased(l, l.reply(only[caller.Send](l.c, l.ask(1, write)), 21))
+		as := l.ask(2, freshRead)
+		l.c.Assert(has[caller.Prove](as), qt.IsFalse)
+		assertReleased(l, l.reply(only[caller.Send](l.c, as), 21))
+	})
+	t.Run("the commit of what only read shows nothing", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		as := l.ask(1, begin)
+		s := only[caller.Send](l.c, as)
+		l.settle(l.step(caller.Replied{Conn: s.Conn, Request: s.Request, Open: true, Position: session.Position{Term: 1, Offset: 20}}))
+		l.prove(as, 1)
+		l.now += time.Second
+		s = only[caller.Send](l.c, l.ask(1, commit))
+		l.settle(l.step(caller.Replied{Conn: s.Conn, Request: s.Request, Tag: "COMMIT", Position: session.Position{Term: 1, Offset: 20}}))
+		l.c.Assert(has[caller.Prove](l.ask(2, freshRead)), qt.IsTrue)
+	})
+}
+
+func TestReadsOfAnAge(t *testing.T) {
+	t.Run("go to a replica with the position that proves their age", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		l.warm()
+		s := only[caller.Send](l.c, l.ask(2, agedRead))
+		l.c.Assert(s.Need, qt.Equals, session.Position{Term: 1, Offset: 21})
+	})
+	t.Run("show the session its own work", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		l.warm()
+		l.reply(only[caller.Send](l.c, l.ask(2, write)), 25)
+		l.now += 200 * time.Millisecond
+		s := only[caller.Send](l.c, l.ask(2, agedRead))
+		l.c.Assert(s.Need.Offset, qt.Equals, uint64(25))
+		l.reply(s, 25)
+		l.c.Assert(only[caller.Send](l.c, l.ask(1, agedRead)).Need.Offset, qt.Equals, uint64(21))
+	})
+	t.Run("go to the primary when no sample is young enough", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		l.reply(only[caller.Send](l.c, l.ask(1, write)), 21)
+		l.now += 1600 * time.Millisecond
+		s := only[caller.Send](l.c, l.ask(2, agedRead))
+		l.c.Assert(s.Need.IsZero(), qt.IsTrue)
+		l.c.Assert(s.Hold, qt.IsTrue)
+	})
+	t.Run("go elsewhere when a replica lacks the position", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		l.warm()
+		s := only[caller.Send](l.c, l.ask(2, agedRead))
+		as := l.settle(l.step(caller.Declined{Conn: s.Conn, Request: s.Request, Why: caller.DeclineBehind}))
+		assertHeldBack(l, as)
+		l.c.Assert(only[caller.Send](l.c, as).Conn, qt.Not(qt.Equals), s.Conn)
+	})
+}
+
+func TestLostAnswers(t *testing.T) {
+	broken := func(l *lane, s caller.Send) []caller.Action {
+		return l.settle(l.step(caller.Broken{Conn: s.Conn, Request: s.Request}))
+	}
+	t.Run("of a write leave its outcome unknown at once", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		r := only[caller.Refuse](l.c, broken(l, only[caller.Send](l.c, l.ask(1, write))))
+		l.c.Assert(r.Refusal.Reason, qt.Equals, caller.ReasonUnknown)
+		l.c.Assert(r.Refusal.NotRun(), qt.IsFalse)
+	})
+	t.Run("of a read have it asked again", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		as := broken(l, only[caller.Send](l.c, l.ask(1, freshRead)))
+		l.c.Assert(has[caller.Send](as), qt.IsTrue)
+	})
+	t.Run("of a transaction's beginning end it, since it may not begin twice", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		as := broken(l, only[caller.Send](l.c, l.ask(1, begin)))
+		l.c.Assert(has[caller.Send](as), qt.IsFalse)
+		l.c.Assert(only[caller.Refuse](l.c, as).Refusal.Reason, qt.Equals, caller.ReasonRolledBack)
+	})
+	t.Run("that come in the moment of giving up go nowhere", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		l.view.LedAt = l.now + time.Hour
+		l.step(caller.Viewed{View: l.view})
+		s := only[caller.Send](l.c, l.ask(1, begin))
+		l.c.Assert(s.Hold, qt.IsTrue)
+		l.wait(500 * time.Millisecond)
+		only[caller.Refuse](l.c, l.wait(600*time.Millisecond))
+		as := l.settle(l.step(caller.Replied{Conn: s.Conn, Request: s.Request, Open: true}))
+		l.c.Assert(has[caller.Release](as), qt.IsFalse)
+		l.c.Assert(only[caller.Send](l.c, l.ask(1, freshRead)).Conn, qt.Not(qt.Equals), s.Conn)
+	})
+	t.Run("of a write that is slow raise doubt before its time is over", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		l.ask(1, write)
+		l.c.Assert(only[caller.Doubted](l.c, l.wait(450*time.Millisecond)).Stalled, qt.IsTrue)
+	})
+}
+
+func TestDeclinedInATransaction(t *testing.T) {
+	l := newLane(qt.New(t))
+	as := l.ask(1, begin)
+	s := only[caller.Send](l.c, as)
+	l.settle(l.step(caller.Replied{Conn: s.Conn, Request: s.Request, Open: true}))
+	l.prove(as, 1)
+	s = only[caller.Send](l.c, l.ask(1, write))
+	as = l.step(caller.Declined{Conn: s.Conn, Request: s.Request, Why: caller.DeclineReadOnly, Open: true})
+	r := only[caller.Refuse](l.c, as)
+	l.c.Assert(r.Refusal.NotRun(), qt.IsTrue)
+	l.c.Assert(r.Failed, qt.IsTrue)
+	l.c.Assert(has[caller.Close](as), qt.IsTrue, qt.Commentf("the rest of the transaction must not be committed"))
+}
+
+func TestIdleConnections(t *testing.T) {
+	l := newLane(qt.New(t))
+	l.view.LedAt = l.now + time.Hour
+	l.step(caller.Viewed{View: l.view})
+	var sent []caller.Send
+	for i := range 3 {
+		sent = append(sent, only[caller.Send](l.c, l.ask(caller.SessionID(i+1), freshRead)))
+	}
+	for _, s := range sent {
+		l.reply(s, 20)
+	}
+	closed := 0
+	for _, a := range l.wait(400 * time.Millisecond) {
+		if _, ok := a.(caller.Close); ok {
+			closed++
+		}
+	}
+	l.c.Assert(closed, qt.Equals, 2, qt.Commentf("one connection stays warm"))
+}
+
+func TestWaitingForAServer(t *testing.T) {
+	full := func(l *lane) {
+		for _, n := range []string{"p", "r0", "r1"} {
+			l.step(caller.Limited{Server: n, Slots: 0, Conns: 0})
+		}
+	}
+	patient := bundle.Class{Name: "books", DeadlineMS: 1000, ObjectiveMS: 400}
+	t.Run("ends within the objective, with word when to come back", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		full(l)
+		l.ask(1, caller.Statement{Kind: caller.KindWrite, Class: patient})
+		assertHeldBack(l, l.wait(200*time.Millisecond))
+		r := only[caller.Refuse](l.c, l.wait(100*time.Millisecond))
+		l.c.Assert(r.Refusal.NotRun(), qt.IsTrue)
+		l.c.Assert(r.Refusal.Retry > 0, qt.IsTrue)
+	})
+	t.Run("goes on while the group has no primary", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		v := l.view
+		v.Suspect = true
+		l.step(caller.Viewed{View: v})
+		l.ask(1, caller.Statement{Kind: caller.KindWrite, Class: patient})
+		assertHeldBack(l, l.wait(900*time.Millisecond))
+		l.c.Assert(has[caller.Send](l.settle(l.step(caller.Viewed{View: l.view}))), qt.IsTrue)
+	})
+}
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -153,8 +153,8 @@
 		{"deadlines", expireRequests},
 		{"lease timeouts", expireLeases},
 		{"sessions", endSessions},
-		{"proofs", sendProofs},
 		{"dispatch", dispatchQueues},
+		{"proofs", sendProofs},
 		{"leases", tendLeases},
 		{"pool", tendPool},
 	}
