Log each decision about a failed request, serve metrics, and explain a request from logs

Cause: only changes of belief were logged. Records of requests carry what was decided from; successes are sampled by the id, each kind is bounded per second, and a blocked writer costs lines, not requests.

--- a/cmd/buckthornport-fleet/main.go
+++ b/cmd/buckthornport-fleet/main.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"buckthornport.example/buckthornport/internal/fleet"
+	"buckthornport.example/buckthornport/internal/logsink"
 	"buckthornport.example/buckthornport/internal/settings"
 )
 
@@ -58,11 +59,14 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	log, err := newLogger(level)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	n, err := fleet.New(context.Background(), s, fleet.WithLogger(log.With(zap.String("node", s.Node)), level))
+	sink := logsink.New(os.Stdout)
+	log := newLogger(sink, level)
+	defer func() { _ = log.Sync() }()
+	n, err := fleet.New(context.Background(), s, fleet.WithLogger(log.With(zap.String("node", s.Node)), level),
+		fleet.WithLogDropped(func() uint64 {
+			_, dropped := sink.Counts()
+			return dropped
+		}))
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -99,15 +103,10 @@
 	}
 }
 
-// newLogger returns a logger that writes JSON lines to standard output.
-func newLogger(level zap.AtomicLevel) (*zap.Logger, error) {
-	cfg := zap.NewProductionConfig()
-	cfg.Level = level
-	cfg.Sampling = nil
-	cfg.DisableStacktrace = true
-	cfg.DisableCaller = true
-	cfg.OutputPaths = []string{"stdout"}
-	cfg.EncoderConfig.TimeKey = "time"
-	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	return cfg.Build()
+// newLogger returns a logger that writes JSON lines to a sink that never blocks.
+func newLogger(sink zapcore.WriteSyncer, level zap.AtomicLevel) *zap.Logger {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.TimeKey = "time"
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(cfg), sink, level))
 }
--- a/cmd/buckthornport/inspect.go
+++ b/cmd/buckthornport/inspect.go
@@ -151,44 +151,6 @@
 	return io.ReadAll(resp.Body)
 }
 
-type explainCommand struct {
-	Failover explainFailoverCommand `cmd:"" help:"Tell what led to a change of primary, and what followed."`
-}
-
-type explainFailoverCommand struct {
-	Group    string   `arg:"" help:"Database."`
-	Term     uint64   `arg:"" optional:"" help:"Term that the failover led to; the latest, if not given."`
-	Platform string   `help:"Read the objects that all nodes wrote, at IP:PORT."`
-	Status   []string `help:"Read the latest records of nodes at these status addresses."`
-}
-
-// Run prints the records around the failover as sentences.
-func (c explainFailoverCommand) Run(env *environment) error {
-	a := auditCommand{Platform: c.Platform, Status: c.Status, Since: 365 * 24 * time.Hour, Group: c.Group}
-	rs, err := a.collect(env.ctx)
-	if err != nil {
-		return err
-	}
-	term := c.Term
-	if term == 0 {
-		for _, r := range rs {
-			term = max(term, r.Term)
-		}
-	}
-	told := 0
-	for _, r := range rs {
-		before := r.Kind == operator.KindSuspicion && r.Term+1 == term
-		if before || r.Term == term {
-			fmt.Println(r.Sentence())
-			told++
-		}
-	}
-	if told == 0 {
-		return trace.NotFound("nothing is recorded about term %d of %s", term, c.Group)
-	}
-	return nil
-}
-
 type statusCommand struct {
 	Nodes []string `arg:"" help:"Status addresses of the nodes."`
 }
--- a/internal/caller/decline.go
+++ b/internal/caller/decline.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/pkg/session"
 )
 
@@ -47,6 +48,10 @@
 	l.giveBack(now, c, r, known, e.Open)
 	l.avoid(now, c.Server, e)
 	s, alive := l.sessions.Get(r.Session)
+	if known {
+		l.tell(now, r, CauseDeclined, operator.Evidence{Name: "why", Value: e.Why.String()},
+			operator.Evidence{Name: "position", Value: e.Position.String()})
+	}
 	switch {
 	case !known:
 	case !alive:
@@ -54,7 +59,7 @@
 	case s.Conn == e.Conn:
 		l.refuse(r.WithoutConn(), Refusal{Reason: ReasonRolledBack, Retry: retryHint, Detail: "server is " + e.Why.String()})
 	case r.Attempts >= MaxAttempts:
-		l.refuse(r.WithUnsent(), Refusal{Reason: ReasonOverload, Retry: retryHint, Detail: "server is " + e.Why.String()})
+		l.refuse(r.WithDeclined(c.Server), Refusal{Reason: ReasonOverload, Retry: retryHint, Detail: "server is " + e.Why.String()})
 	default:
 		l.requeue(r.WithDeclined(c.Server))
 	}
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -44,6 +44,7 @@
 	ttl       time.Duration
 	jitter    func(limit time.Duration) time.Duration
 	violated  func(invariant, detail string)
+	trace     func(id string) bool
 	stats     Stats
 	out       []Action
 	systems   []system
@@ -83,6 +84,8 @@
 	Violations     uint64 `json:"violations"`
 	LostWork       uint64 `json:"lost_work"`
 	SessionsOpened uint64 `json:"sessions_opened"`
+	// Latency counts answers by kind of class.
+	Latency [classKinds]Latency `json:"latency"`
 }
 
 // Option sets up a Lane.
@@ -148,6 +151,7 @@
 		ttl:      upstream.EvidenceTTL,
 		jitter:   func(limit time.Duration) time.Duration { return limit / 2 },
 		violated: func(string, string) {},
+		trace:    func(string) bool { return false },
 	}
 	l.systems = []system{
 		{"deadlines", expireRequests},
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -298,10 +298,14 @@
 	if l.kind.Notes {
 		l.requests.Wake(r.ID, min(r.Deadline, now+slowAfter))
 	}
-	l.out = append(l.out, Send{
+	a := Send{
 		Conn: id, Request: r.ID, Session: s.ID, Seq: r.Seq, Hold: r.Held, Wrap: wrap(s, r),
 		Key: r.Statement.Key, Stale: s.Stale, Need: need,
-	})
+	}
+	l.out = append(l.out, a)
+	if r.Traced {
+		l.tellSent(now, a, r, row)
+	}
 }
 
 // needOf is the position that a read outside of a transaction must show.
--- /dev/null
+++ b/internal/caller/record.go
@@ -0,0 +1,91 @@
+package caller
+
+import (
+	"strconv"
+	"time"
+
+	"buckthornport.example/buckthornport/internal/operator"
+)
+
+// The causes of records about one request.
+const (
+	CauseSent      = "sent"
+	CauseAnswered  = "answered"
+	CauseRefused   = "refused"
+	CauseUnknown   = "outcome_unknown"
+	CauseDeclined  = "declined"
+	CauseBroken    = "connection_lost"
+	CauseSentAgain = "sent_again"
+	CauseSlow      = "slow"
+)
+
+// WithTrace has the lane record the way of those requests through it, by their callers' names for them, that f picks; what goes
+// wrong is recorded for all.
+func WithTrace(f func(id string) bool) Option {
+	return func(l *Lane) error {
+		l.trace = f
+		return nil
+	}
+}
+
+// tell records something about a request with what it was decided from.
+func (l *Lane) tell(now time.Duration, r Request, cause string, more ...operator.Evidence) {
+	c := operator.Record{
+		Kind: operator.KindRequest, Cause: cause, Request: r.Statement.ID, Server: r.Server, Term: l.view.Term,
+		Version: r.Statement.Version,
+	}
+	c = c.WithEvidence("class", r.Statement.Class.Name).WithEvidence("waited_ms", millis(now-r.Arrived)).
+		WithEvidence("attempts", strconv.Itoa(r.Attempts))
+	c.Evidence = append(c.Evidence, more...)
+	l.note(c)
+}
+
+// tellSent records which server a request went to, and what spoke for it.
+func (l *Lane) tellSent(now time.Duration, a Send, r Request, row Server) {
+	l.tell(now, r, CauseSent, operator.Evidence{Name: "need", Value: a.Need.String()},
+		operator.Evidence{Name: "running", Value: strconv.Itoa(row.Running)},
+		operator.Evidence{Name: "took_ms", Value: millis(row.Took)},
+		operator.Evidence{Name: "lead_age_ms", Value: millis(now - max(l.led, l.view.LedAt))},
+		operator.Evidence{Name: "held_for_lead", Value: strconv.FormatBool(r.Lead)})
+}
+
+// tellRefused records why a request was refused, and how far it had come.
+func (l *Lane) tellRefused(now time.Duration, r Request, why Refusal) {
+	cause := CauseRefused
+	if !why.NotRun() {
+		cause = CauseUnknown
+	}
+	l.tell(now, r, cause, operator.Evidence{Name: "reason", Value: why.Reason.String()},
+		operator.Evidence{Name: "detail", Value: why.Detail},
+		operator.Evidence{Name: "phase", Value: r.Phase.String()},
+		operator.Evidence{Name: "primary", Value: l.view.Primary},
+		operator.Evidence{Name: "suspect", Value: strconv.FormatBool(l.view.Suspect || l.view.Fenced)},
+		operator.Evidence{Name: "queued", Value: strconv.Itoa(l.queued())},
+		operator.Evidence{Name: "lead_age_ms", Value: millis(now - max(l.led, l.view.LedAt))})
+}
+
+// queued is how many requests wait for a server.
+func (l *Lane) queued() int {
+	n := 0
+	for _, q := range l.queues {
+		n += len(q)
+	}
+	return n
+}
+
+func millis(d time.Duration) string {
+	return strconv.FormatInt(d.Milliseconds(), 10)
+}
+
+// String names the phase.
+func (p Phase) String() string {
+	return [...]string{"floor", "queued", "running", "proving", "settling"}[p]
+}
+
+// String names the reason.
+func (r Reason) String() string {
+	return [...]string{
+		"overload", "no_primary", "timeout", "draining", "not_run", "rolled_back", "discarded", "unknown", "cut", "lost_work",
+		"no_floor", "failed_transaction", "cancelled",
+	}[r]
+}
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
+	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/upstream"
 )
 
@@ -129,6 +131,11 @@
 // answer ends a request whose answer needs no evidence any more; a held one is let go.
 func (l *Lane) answer(now time.Duration, s Session, r Request, e Replied) {
 	l.checkRead(s, r, e)
+	l.stats.count(r, now)
+	if r.Traced {
+		l.tell(now, r, CauseAnswered, operator.Evidence{Name: "position", Value: e.Position.String()},
+			operator.Evidence{Name: "failed", Value: strconv.FormatBool(e.Failed)})
+	}
 	if r.Held {
 		l.out = append(l.out, Release{Session: s.ID, Seq: r.Seq, Floor: s.Floor})
 	}
@@ -169,6 +176,7 @@
 	if !known {
 		return
 	}
+	l.tell(now, r, CauseBroken, operator.Evidence{Name: "unsent", Value: strconv.FormatBool(e.Unsent)})
 	s, alive := l.sessions.Get(r.Session)
 	if !alive {
 		l.requests.Delete(r.ID)
@@ -230,6 +238,7 @@
 	}
 	l.retries--
 	l.stats.Retried++
+	l.tell(l.now, r, CauseSentAgain)
 	r.Avoid = r.Server
 	l.requeue(r)
 }
--- a/internal/caller/rows.go
+++ b/internal/caller/rows.go
@@ -203,6 +203,8 @@
 	Avoid string
 	// Joined is the connection of the transaction that the request belongs to.
 	Joined ConnID
+	// Traced says that the request's way is recorded even if nothing goes wrong.
+	Traced bool
 	// Held says that the answer goes to its caller only by the lane's word.
 	Held bool
 	// Lead says that the answer waits for evidence that the primary led when the request arrived.
--- a/internal/caller/sessions.go
+++ b/internal/caller/sessions.go
@@ -78,7 +78,7 @@
 	l.lastReq++
 	r := Request{
 		ID: l.lastReq, Session: s.ID, Seq: e.Seq, Statement: e.Statement, Arrived: now,
-		Deadline: now + e.Statement.Class.Deadline(),
+		Deadline: now + e.Statement.Class.Deadline(), Traced: l.trace(e.Statement.ID),
 	}
 	l.stats.Requests++
 	if s.Failed {
@@ -192,11 +192,14 @@
 func (l *Lane) refuse(r Request, why Refusal) {
 	s, ok := l.sessions.Get(r.Session)
 	l.requests.Delete(r.ID)
+	l.tellRefused(l.now, r, why)
 	l.ensure(!why.NotRun() || !r.Sent || r.Result == ResultNotRun || safeAfterSend(why.Reason), "not_run_is_true",
 		func() string { return why.Error() })
 	if why.Reason == ReasonUnknown {
 		l.stats.Unknown++
-		l.note(operator.Record{Kind: operator.KindUnknown, Cause: "not_settled"}.WithEvidence("key", why.Key))
+		if why.Key != "" {
+			l.note(operator.Record{Kind: operator.KindUnknown, Cause: "not_settled"}.WithEvidence("key", why.Key))
+		}
 	}
 	if !ok {
 		return
--- a/internal/caller/settle.go
+++ b/internal/caller/settle.go
@@ -72,6 +72,9 @@
 func (l *Lane) expire(now time.Duration, r Request) {
 	if now < r.Deadline && (r.Phase == PhaseRunning || r.Phase == PhaseProving) {
 		l.doubt(now, r.Server, commits(r))
+		if r.Traced {
+			l.tell(now, r, CauseSlow)
+		}
 		l.requests.Wake(r.ID, r.Deadline)
 		return
 	}
@@ -105,7 +108,7 @@
 	}
 	switch {
 	case l.now < r.Deadline:
-		l.refuse(r.WithUnsent(), Refusal{Reason: ReasonOverload, Retry: retryHint})
+		l.refuse(r.WithDeclined(r.Avoid), Refusal{Reason: ReasonOverload, Retry: retryHint})
 	case r.Sent:
 		l.refuse(r, Refusal{Reason: ReasonCut})
 	case l.leader() == "" && s.Conn == 0:
--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
-
-	"go.uber.org/zap"
 
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/control"
+	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/peerlink"
 	listing "buckthornport.example/buckthornport/internal/platform"
@@ -48,7 +46,7 @@
 		return err
 	}
 	d := control.NewNode(n.settings.Node, bundle.Bundle{}, w, m, o)
-	d.Wall = func(elapsed time.Duration) time.Time { return n.start.Add(elapsed).UTC() }
+	d.Wall = n.wall
 	d.Accept = acceptConfig
 	d.Spreads = false
 	n.thread = control.NewThread(n.ctx, n.clock, d)
@@ -91,7 +89,8 @@
 	t.Note = n.keep
 	t.Publish = n.publish
 	t.Failed = func(call, subject string, err error) {
-		n.log.Warn("call failed", zap.String("call", call), zap.String("subject", subject), zap.Error(err))
+		n.keep(operator.Record{Kind: operator.KindDependency, Server: subject, Cause: "call_failed"}.
+			WithEvidence("call", call).WithEvidence("error", err.Error()))
 	}
 }
 
@@ -173,7 +172,7 @@
 // openLane starts the lane of a group.
 func (n *Node) openLane(group string) (*traffic.Lane, error) {
 	d, err := caller.NewLane(group, n.settings.Zone, caller.WithJitter(jitter), caller.WithKind(caller.Appointed(n.settings.Nearness)),
-		caller.WithPolicy(caller.Quickest(n.settings.Nearness)), caller.WithViolated(n.violated))
+		caller.WithPolicy(caller.Quickest(n.settings.Nearness)), caller.WithViolated(n.violated), caller.WithTrace(traced))
 	if err != nil {
 		return nil, err
 	}
@@ -186,7 +185,7 @@
 	l.Dial = func(ctx context.Context, a caller.Open, post func(caller.Event)) (traffic.Upstream, error) {
 		u, err := platform.DialUpstream(ctx, n.front, group, n.settings.Node, a, post)
 		if err != nil {
-			n.log.Warn("connection not opened", zap.String("server", a.Server), zap.Error(err))
+			n.depend(a.Server, "connection_refused", err)
 		}
 		return u, err
 	}
--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -6,9 +6,8 @@
 	"errors"
 	"time"
 
-	"go.uber.org/zap"
-
 	"buckthornport.example/buckthornport/internal/control"
+	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/peer"
 	listing "buckthornport.example/buckthornport/internal/platform"
 	"buckthornport.example/buckthornport/platform"
@@ -65,15 +64,15 @@
 		switch {
 		case err == nil:
 			if pause != feedRetry {
-				n.log.Info("store regained", zap.String("table", f.table))
+				n.depend("store/"+f.table, "regained", nil)
 			}
 			known, pause = true, feedRetry
 		case errors.Is(err, platform.ErrHistoryGone):
-			n.log.Info("store history gone", zap.String("table", f.table), zap.Uint64("version", version))
+			n.depend("store/"+f.table, "history_gone", err)
 			known = false
 		default:
 			if pause == feedRetry {
-				n.log.Warn("store lost", zap.String("table", f.table), zap.Error(err))
+				n.depend("store/"+f.table, "lost", err)
 			}
 			n.sleep(pause/2 + jitter(pause/2))
 			pause = min(2*pause, feedRetryMax)
@@ -144,7 +143,7 @@
 	}
 	e, err := platform.DecodeEntry(r.Key, r.Value)
 	if err != nil {
-		n.log.Warn("entry names no server", zap.Error(err))
+		n.keep(operator.Record{Kind: operator.KindServer, Server: r.Key, Cause: "entry_unreadable"}.WithEvidence("error", err.Error()))
 		return listing.Entry{}, false
 	}
 	return e, true
@@ -165,7 +164,7 @@
 		if failed == nil {
 			return
 		}
-		n.log.Warn("node not registered", zap.Error(failed))
+		n.depend("store/"+tableMembers, "not_registered", failed)
 		n.sleep(pause/2 + jitter(pause/2))
 	}
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -35,19 +35,22 @@
 	settings settings.Fleet
 	log      *zap.Logger
 	level    zap.AtomicLevel
-	clock    tick.Clock
-	start    time.Time
-	store    *platform.Store
-	servers  *platform.Control
-	orders   *platform.Orders
-	front    *platform.Front
-	thread   *control.Thread
-	link     *peerlink.Link
-	routes   atomic.Pointer[routing]
-	draining atomic.Bool
-	grace    atomic.Int64
-	ctx      context.Context
-	stop     context.CancelFunc
+	journal  journal
+	// logDropped counts lines that the log's writer did not take.
+	logDropped func() uint64
+	clock      tick.Clock
+	start      time.Time
+	store      *platform.Store
+	servers    *platform.Control
+	orders     *platform.Orders
+	front      *platform.Front
+	thread     *control.Thread
+	link       *peerlink.Link
+	routes     atomic.Pointer[routing]
+	draining   atomic.Bool
+	grace      atomic.Int64
+	ctx        context.Context
+	stop       context.CancelFunc
 
 	mu      sync.Mutex
 	lanes   map[string]*traffic.Lane
@@ -88,10 +91,18 @@
 	}
 }
 
+// WithLogDropped tells how many lines the log's writer did not take.
+func WithLogDropped(f func() uint64) Option {
+	return func(n *Node) error {
+		n.logDropped = f
+		return nil
+	}
+}
+
 // New returns a node that does not serve yet.
 func New(ctx context.Context, s settings.Fleet, opts ...Option) (*Node, error) {
 	n := &Node{
-		settings: s, log: zap.NewNop(), level: zap.NewAtomicLevel(), clock: tick.NewClock(), start: time.Now(), members: []string{s.Peer},
+		settings: s, log: zap.NewNop(), level: zap.NewAtomicLevel(), logDropped: func() uint64 { return 0 }, clock: tick.NewClock(), start: time.Now(), members: []string{s.Peer},
 		lanes: map[string]*traffic.Lane{}, slots: map[string]server{}, views: map[string]upstream.GroupView{},
 	}
 	for _, o := range opts {
@@ -99,6 +110,7 @@
 			return nil, trace.Wrap(err)
 		}
 	}
+	n.journal = journal{log: n.log, limiter: operator.NewLimiter()}
 	n.ctx, n.stop = context.WithCancel(ctx)
 	n.routes.Store(newRouting(bundle.Bundle{}))
 	n.grace.Store(int64(s.GraceMS))
@@ -138,7 +150,11 @@
 		{n.settings.Listen, n.front.Serve},
 		{n.settings.Peer, n.link.Serve},
 		{n.settings.Ready, n.serveReady},
+		{n.settings.Status, n.serveStatus},
 	} {
+		if l.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return trace.Wrap(err)
@@ -179,11 +195,6 @@
 	return b.Version != 0 && !slices.ContainsFunc(b.Groups, func(g bundle.Group) bool { return n.views[g.Name].Primary == "" })
 }
 
-// keep puts a record of the audit trail into the log.
-func (n *Node) keep(r operator.Record) {
-	n.log.Info("audit", zap.Any("record", r))
-}
-
 func (n *Node) violated(invariant, detail string) {
 	n.log.Error("invariant violated", zap.String("invariant", invariant), zap.String("detail", detail))
 }
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -2,10 +2,12 @@
 
 import (
 	"slices"
+	"strconv"
 
 	"go.uber.org/zap"
 
 	"buckthornport.example/buckthornport/internal/caller"
+	"buckthornport.example/buckthornport/internal/operator"
 	listing "buckthornport.example/buckthornport/internal/platform"
 	"buckthornport.example/buckthornport/internal/upstream"
 	"buckthornport.example/buckthornport/pkg/bundle"
@@ -54,8 +56,16 @@
 
 // setServer takes note of a server that the platform lists, or no longer does.
 func (n *Node) setServer(c listing.ServerChange) {
-	n.log.Info("server", zap.String("server", c.Entry.ID), zap.String("group", c.Entry.Service),
-		zap.String("zone", c.Entry.Zone), zap.Bool("leaving", c.Entry.Leaving), zap.Bool("gone", c.Gone))
+	cause := "listed"
+	switch {
+	case c.Gone:
+		cause = "gone"
+	case c.Entry.Leaving:
+		cause = "leaving"
+	}
+	n.keep(operator.Record{Kind: operator.KindServer, Group: c.Entry.Service, Server: c.Entry.ID, Cause: cause}.
+		WithEvidence("zone", c.Entry.Zone).WithEvidence("address", c.Entry.Address).
+		WithEvidence("born", strconv.FormatInt(c.Entry.Born, 10)))
 	n.mu.Lock()
 	if c.Gone {
 		delete(n.slots, c.Entry.ID)
--- a/internal/fleet/whole_test.go
+++ b/internal/fleet/whole_test.go
@@ -2,17 +2,22 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
+	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/settings"
 	"buckthornport.example/buckthornport/internal/standin/metadata"
 )
@@ -27,6 +32,29 @@
 type deployment struct {
 	platform *metadata.Platform
 	nodes    []*Node
+	log      lockedBuffer
+}
+
+// lockedBuffer is a log that several nodes write.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *lockedBuffer) Sync() error { return nil }
+
+func (b *lockedBuffer) records(c *qt.C) []operator.Record {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	rs, err := operator.ReadLogs(bytes.NewReader(b.b.Bytes()))
+	c.Assert(err, qt.IsNil)
+	return rs
 }
 
 func freeAddress(c *qt.C) string {
@@ -61,7 +89,9 @@
 	if len(d.nodes) > 0 {
 		s.Seeds = []string{d.nodes[0].settings.Peer}
 	}
-	n, err := New(context.Background(), s)
+	level := zap.NewAtomicLevel()
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), &d.log, level)
+	n, err := New(context.Background(), s, WithLogger(zap.New(core), level))
 	c.Assert(err, qt.IsNil)
 	done := make(chan error, 1)
 	go func() { done <- n.Run() }()
@@ -103,6 +133,11 @@
 	return s
 }
 
+// id is the id of the session's last statement.
+func (s *session) id() string {
+	return fmt.Sprintf("id%d-%s", s.ids, s.conn.LocalAddr())
+}
+
 func (s *session) line() string {
 	l, err := s.r.ReadString('\n')
 	s.c.Assert(err, qt.IsNil)
@@ -112,7 +147,7 @@
 // ask sends a statement and returns the words of its answer: rows, and the code of an error or the state after it.
 func (s *session) ask(text string) (rows []string, outcome string) {
 	s.ids++
-	_, err := fmt.Fprintf(s.conn, "QUERY id%d %s\r\n", s.ids, text)
+	_, err := fmt.Fprintf(s.conn, "QUERY %s %s\r\n", s.id(), text)
 	s.c.Assert(err, qt.IsNil)
 	for {
 		fs := strings.Fields(s.line())
@@ -299,3 +334,78 @@
 	<-drained
 	c.Assert(d.platform.Log("books"), qt.DeepEquals, []string{"a=1"})
 }
+
+// assertExplained wants the explanation of a session's last statement to name a cause and something that happened around it.
+func assertExplained(c *qt.C, d *deployment, s *session, cause, around string) {
+	c.Helper()
+	var text string
+	waitUntil(c, "the log tells of the request", func() bool {
+		text = strings.Join(operator.ExplainRequest(d.log.records(c), s.id()), "\n")
+		return strings.Contains(text, "Cause: ")
+	})
+	c.Assert(text, qt.Contains, "Cause: "+cause)
+	c.Assert(text, qt.Contains, around)
+}
+
+// TestExplain goes from the id of a failed request to its cause by the logs alone.
+func TestExplain(t *testing.T) {
+	t.Run("an outcome that cannot be known", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 1)
+		s := connect(c, d.nodes[0], "ledger")
+		d.platform.Set("books", 1, metadata.Deaf(true))
+		d.platform.Set("books", 2, metadata.Deaf(true))
+		_, outcome := s.ask("WRITE a 1")
+		c.Assert(outcome, qt.Equals, "INDOUBT")
+		assertExplained(c, d, s, "i-books-1 had been given the request and its answer never came", "connection_lost")
+	})
+	t.Run("a read whose primary nobody vouches for", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 1)
+		d.platform.Put("op", "config", fmt.Appendf(nil, config, 4,
+			`,{"Name":"r4","Host":"short","Kind":"primary","TimeoutMs":700,"Service":"books"}`))
+		waitUntil(c, "the route is there", func() bool {
+			_, ok := d.nodes[0].route("short")
+			return ok
+		})
+		d.platform.Set("books", 1, metadata.Dark(true))
+		d.platform.Set("books", 2, metadata.Dark(true))
+		time.Sleep(300 * time.Millisecond)
+		s := connect(c, d.nodes[0], "short")
+		_, outcome := s.ask("READ a")
+		c.Assert(outcome, qt.Equals, "ABORTED")
+		assertExplained(c, d, s, "the read's answer was lost or nothing showed in time that its primary still led", "phase=proving")
+	})
+	t.Run("a request refused for want of room", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 1)
+		d.platform.Put("op", "config", []byte(`{"Version":4,"Routes":[{"Name":"r","Host":"ledger","Kind":"primary",
+			"TimeoutMs":2000,"TargetLatencyMs":300,"Service":"books"}],"Services":[{"Name":"books","MaxConns":2}]}`))
+		waitUntil(c, "the limit is in force", func() bool { return d.nodes[0].routes.Load().bundle.Version == 4 })
+		assertAnswers(connect(c, d.nodes[0], "ledger"), "BEGIN", nil, "T")
+		s := connect(c, d.nodes[0], "ledger")
+		_, outcome := s.ask("WRITE a 1")
+		c.Assert(outcome, qt.Equals, "BUSY")
+		assertExplained(c, d, s, "no server had room within the time that the request could wait", "reason=overload")
+	})
+	t.Run("a request that no log names", func(t *testing.T) {
+		c := qt.New(t)
+		c.Assert(operator.ExplainRequest(nil, "x")[0], qt.Contains, "No line names request x")
+	})
+}
+
+// TestMetrics serves counters as text.
+func TestMetrics(t *testing.T) {
+	c := qt.New(t)
+	d := startDeployment(c, 1)
+	assertAnswers(connect(c, d.nodes[0], "ledger"), "WRITE a 1", nil, "I")
+	var text string
+	waitUntil(c, "the answer is counted", func() bool {
+		var b bytes.Buffer
+		writeMetrics(&b, d.nodes[0].Status())
+		text = b.String()
+		return strings.Contains(text, `answer_seconds_count{node="node-1",group="books",class="fresh"} 1`)
+	})
+	c.Assert(text, qt.Contains, `buckthornport_requests_total{node="node-1",group="books",outcome="refused"} 0`)
+	c.Assert(text, qt.Contains, `buckthornport_ready{node="node-1"} 1`)
+}
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -3,12 +3,11 @@
 import (
 	"fmt"
 	"strings"
-	"time"
 )
 
 // Sentence tells a record in plain words.
 func (r Record) Sentence() string {
-	at := r.Time.Format(time.RFC3339)
+	at := r.Time.Format("2006-01-02T15:04:05.000Z07:00")
 	if f, ok := sentences[r.Kind]; ok {
 		return fmt.Sprintf("%s %s: %s", at, r.Node, f(r))
 	}
@@ -16,6 +15,7 @@
 }
 
 var sentences = map[Kind]func(r Record) string{
+	KindRequest:   requestSentence,
 	KindSuspicion: suspicion,
 	KindPromotion: promotion,
 	KindTerm: func(r Record) string {
@@ -45,7 +45,19 @@
 	KindLost: func(r Record) string {
 		return fmt.Sprintf("term %d of %s dropped work (%s):%s.", r.Term, r.Group, r.Cause, r.evidence())
 	},
+	KindServer: func(r Record) string {
+		return fmt.Sprintf("server %s of %s is %s (%s).", r.Server, r.Group, r.Cause, strings.TrimSpace(r.evidence()))
+	},
+	KindDependency: func(r Record) string {
+		return fmt.Sprintf("%s: %s;%s.", r.Server, r.Cause, r.evidence())
+	},
+	KindDuty: func(r Record) string {
+		return fmt.Sprintf("lease of %s: %s;%s.", r.Group, r.Cause, r.evidence())
+	},
 	KindGap: func(r Record) string {
+		if r.Cause == "log_limit" {
+			return fmt.Sprintf("lines were left out of the log:%s.", r.evidence())
+		}
 		return fmt.Sprintf("%s records were dropped because the store could not be reached.", r.value("dropped"))
 	},
 }
@@ -62,6 +74,9 @@
 }
 
 func promotion(r Record) string {
+	if r.Cause == "ordered" || r.Cause == "no_successor" {
+		return fmt.Sprintf("promotion in %s, term %d: %s %s;%s.", r.Group, r.Term, r.Cause, r.Server, r.evidence())
+	}
 	if strings.HasPrefix(r.Cause, "abandoned") {
 		return fmt.Sprintf("promotion of %s to term %d was given up while %s.", r.Group, r.Term,
 			strings.TrimPrefix(r.Cause, "abandoned_"))
--- /dev/null
+++ b/internal/operator/limiter.go
@@ -0,0 +1,74 @@
+package operator
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+const (
+	// linesPerSecond is how many records of one kind and cause a node logs in a second: at 500 bytes each, all that can be
+	// frequent at once stays below 64 KB/s.
+	linesPerSecond = 20
+	// tellEvery is the time between records about what was left out.
+	tellEvery = 5 * time.Second
+)
+
+// Limiter bounds how many records of each kind and cause are logged.
+type Limiter struct {
+	window time.Duration
+	told   time.Duration
+	counts map[subject]int
+	left   map[subject]int
+	total  uint64
+}
+
+type subject struct {
+	kind  Kind
+	cause string
+}
+
+// NewLimiter returns a limiter that has seen nothing.
+func NewLimiter() *Limiter {
+	return &Limiter{counts: map[subject]int{}, left: map[subject]int{}}
+}
+
+// Admit reports whether a record may be logged now.
+func (l *Limiter) Admit(now time.Duration, r Record) bool {
+	if now-l.window >= time.Second {
+		l.window = now
+		clear(l.counts)
+	}
+	s := subject{r.Kind, r.Cause}
+	l.counts[s]++
+	if l.counts[s] <= linesPerSecond {
+		return true
+	}
+	l.left[s]++
+	l.total++
+	return false
+}
+
+// LeftOut returns a record of what was left out since the last one, if it is time for it.
+func (l *Limiter) LeftOut(now time.Duration) (Record, bool) {
+	if len(l.left) == 0 || now-l.told < tellEvery {
+		return Record{}, false
+	}
+	r := Record{Kind: KindGap, Cause: "log_limit"}
+	ss := make([]string, 0, len(l.left))
+	for s, n := range l.left {
+		ss = append(ss, fmt.Sprintf("%s/%s=%d", s.kind, s.cause, n))
+	}
+	slices.Sort(ss)
+	for _, s := range ss {
+		r = r.WithEvidence("left_out", s)
+	}
+	l.told = now
+	clear(l.left)
+	return r, true
+}
+
+// Total returns how many records were left out since the start.
+func (l *Limiter) Total() uint64 {
+	return l.total
+}
--- /dev/null
+++ b/internal/operator/limiter_test.go
@@ -0,0 +1,46 @@
+package operator_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"buckthornport.example/buckthornport/internal/operator"
+)
+
+func TestLimiter(t *testing.T) {
+	refused := operator.Record{Kind: operator.KindRequest, Cause: "refused"}
+	term := operator.Record{Kind: operator.KindTerm, Cause: "seen"}
+	flood := func(l *operator.Limiter, at time.Duration) (admitted int) {
+		for range 1000 {
+			if l.Admit(at, refused) {
+				admitted++
+			}
+		}
+		return admitted
+	}
+	t.Run("a flood is cut to its rate", func(t *testing.T) {
+		c := qt.New(t)
+		l := operator.NewLimiter()
+		c.Assert(flood(l, time.Second), qt.Equals, 20)
+		c.Assert(flood(l, 3*time.Second), qt.Equals, 20)
+		c.Assert(l.Total(), qt.Equals, uint64(1960))
+	})
+	t.Run("other causes go on", func(t *testing.T) {
+		c := qt.New(t)
+		l := operator.NewLimiter()
+		flood(l, time.Second)
+		c.Assert(l.Admit(time.Second, term), qt.IsTrue)
+	})
+	t.Run("what was left out is told", func(t *testing.T) {
+		c := qt.New(t)
+		l := operator.NewLimiter()
+		flood(l, time.Second)
+		r, ok := l.LeftOut(10 * time.Second)
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(r.Evidence[0].Value, qt.Equals, "request/refused=980")
+		_, ok = l.LeftOut(20 * time.Second)
+		c.Assert(ok, qt.IsFalse)
+	})
+}
--- a/internal/operator/record.go
+++ b/internal/operator/record.go
@@ -25,6 +25,11 @@
 	KindGap        Kind = "gap"
 	KindDuty       Kind = "duty"
 	KindSlotLimits Kind = "slot_limits"
+	// KindRequest is about one request of a caller.
+	KindRequest Kind = "request"
+	// KindServer is about a server as the platform lists it, KindDependency about something that the node cannot do without.
+	KindServer     Kind = "server"
+	KindDependency Kind = "dependency"
 )
 
 // Record is one immutable entry of the audit trail; Elapsed counts from the start of the node that wrote it.
@@ -34,6 +39,7 @@
 	Elapsed  time.Duration `json:"elapsed_ns"`
 	Node     string        `json:"node"`
 	Kind     Kind          `json:"kind"`
+	Request  string        `json:"request,omitempty"`
 	Group    string        `json:"group,omitempty"`
 	Server   string        `json:"server,omitempty"`
 	Term     uint64        `json:"term,omitempty"`
