--- a/internal/caller/appointed_test.go
+++ b/internal/caller/appointed_test.go
@@ -16,7 +16,7 @@
 type lane struct {
 	*bench
 	c     *qt.C
-	conns map[string]caller.ConnID
+	conns map[caller.ConnID]string
 	next  map[caller.SessionID]uint64
 }
 
@@ -27,7 +27,7 @@
 		caller.WithViolated(func(invariant, detail string) { c.Errorf("%s: %s", invariant, detail) }))
 	c.Assert(err, qt.IsNil)
 	l := &lane{
-		c: c, conns: map[string]caller.ConnID{}, next: map[caller.SessionID]uint64{},
+		c: c, conns: map[caller.ConnID]string{}, next: map[caller.SessionID]uint64{},
 		bench: &bench{lane: d, now: 10 * time.Second, view: upstream.GroupView{
 			Name: "g", Term: 1, Primary: "p", EvidenceTTL: 250 * time.Millisecond,
 		}},
@@ -53,6 +53,7 @@
 func (l *lane) settle(as []caller.Action) []caller.Action {
 	for i := 0; i < len(as); i++ {
 		if o, ok := as[i].(caller.Open); ok {
+			l.conns[o.Conn] = o.Server
 			as = append(as, l.step(caller.ConnOpened{Conn: o.Conn})...)
 		}
 	}
@@ -264,6 +265,40 @@
 	})
 }
 
+func TestSilentServer(t *testing.T) {
+	t.Run("loses a read that others can answer", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		l.warm()
+		s := only[caller.Send](l.c, l.ask(2, agedRead))
+		as := l.wait(450 * time.Millisecond)
+		l.c.Assert(only[caller.Close](l.c, as).Conn, qt.Equals, s.Conn)
+		l.c.Assert(only[caller.Send](l.c, as).Conn, qt.Not(qt.Equals), s.Conn)
+	})
+	t.Run("that answers others keeps its slow read", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		l.warm()
+		l.reply(only[caller.Send](l.c, l.ask(98, agedRead)), 21)
+		slow := only[caller.Send](l.c, l.ask(2, agedRead))
+		quick := slow
+		for id := caller.SessionID(3); quick.Conn == slow.Conn || l.conns[quick.Conn] != l.conns[slow.Conn]; id++ {
+			quick = only[caller.Send](l.c, l.ask(id, agedRead))
+		}
+		l.now += 350 * time.Millisecond
+		l.reply(quick, 21)
+		as := l.wait(100 * time.Millisecond)
+		for _, a := range as {
+			if c, ok := a.(caller.Close); ok {
+				l.c.Assert(c.Conn, qt.Not(qt.Equals), slow.Conn)
+			}
+		}
+	})
+	t.Run("keeps a write", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		l.ask(1, write)
+		l.c.Assert(has[caller.Close](l.wait(450*time.Millisecond)), qt.IsFalse)
+	})
+}
+
 func TestDeclinedInATransaction(t *testing.T) {
 	l := newLane(qt.New(t))
 	as := l.ask(1, begin)
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -333,7 +333,7 @@
 		}
 		l.out = append(l.out, Close{Conn: k})
 		if c.Request != 0 {
-			l.broken(now, Broken{Conn: k, Request: c.Request})
+			l.broken(now, Broken{Conn: k, Request: c.Request, GivenUp: true})
 		} else {
 			l.connLost(now, k)
 		}
--- a/internal/caller/messages.go
+++ b/internal/caller/messages.go
@@ -80,6 +80,8 @@
 	Request  RequestID
 	Unsent   bool
 	Streamed bool
+	// GivenUp says that the lane itself closed the connection.
+	GivenUp bool
 }
 
 // Proven is a primary's word that it led Term, and a majority held its log up to the position asked for, after the
--- a/internal/caller/record.go
+++ b/internal/caller/record.go
@@ -15,10 +15,18 @@
 	CauseUnknown   = "outcome_unknown"
 	CauseDeclined  = "declined"
 	CauseBroken    = "connection_lost"
+	CauseGivenUp   = "connection_given_up"
 	CauseSentAgain = "sent_again"
 	CauseSlow      = "slow"
 )
 
+// Causes lists the causes of records about one request.
+func Causes() []string {
+	return []string{
+		CauseSent, CauseAnswered, CauseRefused, CauseUnknown, CauseDeclined, CauseBroken, CauseGivenUp, CauseSentAgain, CauseSlow,
+	}
+}
+
 // WithTrace has the lane record the way of those requests through it, by their callers' names for them, that f picks; what goes
 // wrong is recorded for all.
 func WithTrace(f func(id string) bool) Option {
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -20,7 +20,7 @@
 	l.giveBack(now, c, r, known, e.Open)
 	row, _ := l.servers.Get(c.Server)
 	if known {
-		row = row.WithTook(now - r.Started).WithBehind(0)
+		row = row.WithTook(now - r.Started).WithBehind(0).WithAnswered(now)
 		l.learnCost(r, now-r.Started)
 	}
 	if c.Server != l.view.Primary {
@@ -176,7 +176,11 @@
 	if !known {
 		return
 	}
-	l.tell(now, r, CauseBroken, operator.Evidence{Name: "unsent", Value: strconv.FormatBool(e.Unsent)})
+	cause := CauseBroken
+	if e.GivenUp {
+		cause = CauseGivenUp
+	}
+	l.tell(now, r, cause, operator.Evidence{Name: "unsent", Value: strconv.FormatBool(e.Unsent)})
 	s, alive := l.sessions.Get(r.Session)
 	if !alive {
 		l.requests.Delete(r.ID)
--- a/internal/caller/rows.go
+++ b/internal/caller/rows.go
@@ -378,6 +378,8 @@
 	// Told and Doubted are when control was last told of an answer, and of a missing one.
 	Told    time.Duration
 	Doubted time.Duration
+	// Answered is when the server last answered a request of this lane.
+	Answered time.Duration
 	// Took is the mean time of its answers, weighted towards the latest.
 	Took time.Duration
 	// Shown is the latest position that an answer of the server has shown.
@@ -433,6 +435,12 @@
 	return s
 }
 
+// WithAnswered returns the row after an answer to a request.
+func (s Server) WithAnswered(now time.Duration) Server {
+	s.Answered = now
+	return s
+}
+
 // WithTook returns the row after an answer that took so long.
 func (s Server) WithTook(d time.Duration) Server {
 	if s.Took == 0 {
--- a/internal/caller/settle.go
+++ b/internal/caller/settle.go
@@ -1,6 +1,9 @@
 package caller
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // settle has a request's outcome looked up by its key on the current primary.
 func (l *Lane) settle(now time.Duration, r Request) {
@@ -71,11 +74,7 @@
 
 func (l *Lane) expire(now time.Duration, r Request) {
 	if now < r.Deadline && (r.Phase == PhaseRunning || r.Phase == PhaseProving) {
-		l.doubt(now, r.Server, commits(r))
-		if r.Traced {
-			l.tell(now, r, CauseSlow)
-		}
-		l.requests.Wake(r.ID, r.Deadline)
+		l.missAnswer(now, r)
 		return
 	}
 	switch r.Phase {
@@ -99,6 +98,26 @@
 	}
 }
 
+// missAnswer acts on a request that runs for longer than nearly all work does. A read moves on to another server if its own has
+// answered nobody for as long; all else waits.
+func (l *Lane) missAnswer(now time.Duration, r Request) {
+	l.doubt(now, r.Server, commits(r))
+	if r.Traced {
+		l.tell(now, r, CauseSlow)
+	}
+	l.requests.Wake(r.ID, r.Deadline)
+	s, _ := l.sessions.Get(r.Session)
+	row, _ := l.servers.Get(r.Server)
+	if r.Phase != PhaseRunning || s.Conn != 0 || !mayBeOld(r) || now-row.Answered < slowAfter {
+		return
+	}
+	q := l.query(now, s, r)
+	if slices.ContainsFunc(l.eligible(q), func(o Server) bool { return o.View.Name != r.Server }) {
+		l.out = append(l.out, Close{Conn: r.Conn})
+		l.broken(now, Broken{Conn: r.Conn, Request: r.ID, GivenUp: true})
+	}
+}
+
 // expireQueued refuses what never ran; a read that was sent before is cut, since its earlier tries prove nothing.
 func (l *Lane) expireQueued(r Request) {
 	s, _ := l.sessions.Get(r.Session)
@@ -125,5 +144,5 @@
 		return
 	}
 	l.out = append(l.out, Close{Conn: r.Conn})
-	l.broken(now, Broken{Conn: r.Conn, Request: r.ID})
+	l.broken(now, Broken{Conn: r.Conn, Request: r.ID, GivenUp: true})
 }
--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -70,6 +70,7 @@
 		case errors.Is(err, platform.ErrHistoryGone):
 			n.depend("store/"+f.table, "history_gone", err)
 			known = false
+		case n.ctx.Err() != nil:
 		default:
 			if pause == feedRetry {
 				n.depend("store/"+f.table, "lost", err)
--- a/internal/operator/record.go
+++ b/internal/operator/record.go
@@ -9,22 +9,19 @@
 
 // The kinds of audit records.
 const (
-	KindSuspicion  Kind = "suspicion"
-	KindPromotion  Kind = "promotion"
-	KindTerm       Kind = "term"
-	KindRejoin     Kind = "rejoin"
-	KindRoute      Kind = "route"
-	KindLeaving    Kind = "leaving"
-	KindBundle     Kind = "bundle"
-	KindMember     Kind = "member"
-	KindDrain      Kind = "drain"
-	KindUnknown    Kind = "outcome_unknown"
-	KindLost       Kind = "lost_work"
-	KindRefusal    Kind = "refusal_burst"
-	KindStore      Kind = "store"
-	KindGap        Kind = "gap"
-	KindDuty       Kind = "duty"
-	KindSlotLimits Kind = "slot_limits"
+	KindSuspicion Kind = "suspicion"
+	KindPromotion Kind = "promotion"
+	KindTerm      Kind = "term"
+	KindRejoin    Kind = "rejoin"
+	KindLeaving   Kind = "leaving"
+	KindBundle    Kind = "bundle"
+	KindMember    Kind = "member"
+	KindDrain     Kind = "drain"
+	KindUnknown   Kind = "outcome_unknown"
+	KindLost      Kind = "lost_work"
+	KindRefusal   Kind = "refusal_burst"
+	KindGap       Kind = "gap"
+	KindDuty      Kind = "duty"
 	// KindRequest is about one request of a caller.
 	KindRequest Kind = "request"
 	// KindServer is about a server as the platform lists it, KindDependency about something that the node cannot do without.
@@ -32,6 +29,14 @@
 	KindDependency Kind = "dependency"
 )
 
+// Kinds lists all kinds of audit records.
+func Kinds() []Kind {
+	return []Kind{
+		KindSuspicion, KindPromotion, KindTerm, KindRejoin, KindLeaving, KindBundle, KindMember, KindDrain, KindUnknown, KindLost,
+		KindRefusal, KindGap, KindDuty, KindRequest, KindServer, KindDependency,
+	}
+}
+
 // Record is one immutable entry of the audit trail; Elapsed counts from the start of the node that wrote it.
 type Record struct {
 	Seq      uint64        `json:"seq"`
