--- /dev/null
+++ b/internal/fleet/docs_test.go
@@ -0,0 +1,24 @@
+package fleet
+
+import (
+	"os"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"buckthornport.example/buckthornport/internal/caller"
+	"buckthornport.example/buckthornport/internal/operator"
+)
+
+// TestEventsAreDocumented holds the page for operators against the events that nodes log.
+func TestEventsAreDocumented(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	c.Assert(err, qt.IsNil)
+	for _, k := range operator.Kinds() {
+		c.Check(string(page), qt.Contains, "`"+string(k)+"`")
+	}
+	for _, cause := range caller.Causes() {
+		c.Check(string(page), qt.Contains, "`"+cause+"`")
+	}
+}
