--- a/internal/caller/appointed_test.go
+++ b/internal/caller/appointed_test.go
@@ -158,7 +158,8 @@
 		as := l.settle(l.step(caller.Viewed{View: v}))
 		assertHeldBack(l, as)
 		s := only[caller.Send](l.c, as)
-		assertReleased(l, l.settle(l.step(caller.Replied{Conn: s.Conn, Request: s.Request, Position: session.Position{Term: 2, Offset: 9}})))
+		at := session.Position{Term: 2, Offset: 9}
+		assertReleased(l, l.settle(l.step(caller.Replied{Conn: s.Conn, Request: s.Request, Position: at})))
 	})
 	t.Run("are not sent to a primary that is being replaced", func(t *testing.T) {
 		l := newLane(qt.New(t))
--- a/internal/caller/policy.go
+++ b/internal/caller/policy.go
@@ -32,7 +32,8 @@
 
 const replicaPatience = 40 * time.Millisecond
 
-// Query is what Route decides from; Servers are those that may run the request, and Primary is the server that leads the group, if one is known.
+// Query is what Route decides from; Servers are those that may run the request, and Primary is the server that leads the group,
+// if one is known.
 type Query struct {
 	Now      time.Duration
 	Zone     string
--- a/internal/caller/pool.go
+++ b/internal/caller/pool.go
@@ -56,9 +56,8 @@
 		l.stats.StrayMessages++
 		return
 	}
-	row, _ := l.servers.Get(c.Server)
 	l.doubt(now, c.Server, false)
-	row, _ = l.servers.Get(c.Server)
+	row, _ := l.servers.Get(c.Server)
 	row = row.WithOpening(-1).WithRetry(now + ConnectBackoff/2 + l.jitter(ConnectBackoff/2))
 	l.servers.Put(c.Server, row)
 	l.servers.Wake(c.Server, row.Retry)
--- a/internal/control/thread.go
+++ b/internal/control/thread.go
@@ -195,7 +195,7 @@
 	l, err := t.ReadLease(ctx, a)
 	if err != nil {
 		t.Failed("read lease", a.Group, err)
-		t.Post(upstream.LeaseFailed{Group: a.Group})
+		t.Post(upstream.LeaseFailed(a))
 		return
 	}
 	t.Post(upstream.LeaseRead{Group: a.Group, Lease: l})
--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -10,6 +10,7 @@
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/peerlink"
 	listing "buckthornport.example/buckthornport/internal/platform"
+	"buckthornport.example/buckthornport/internal/tick"
 	"buckthornport.example/buckthornport/internal/traffic"
 	"buckthornport.example/buckthornport/internal/upstream"
 	"buckthornport.example/buckthornport/pkg/bundle"
@@ -26,12 +27,12 @@
 }
 
 func (n *Node) makeThread() error {
-	w, err := upstream.NewWatch(n.settings.Peer, upstream.WithKind(upstream.Appointed()), upstream.WithJitter(jitter))
+	w, err := upstream.NewWatch(n.settings.Peer, upstream.WithKind(upstream.Appointed()), upstream.WithJitter(tick.Jitter))
 	if err != nil {
 		return err
 	}
 	life := uint64(n.start.UnixNano())
-	opts := []peer.Option{peer.WithRandom(random)}
+	opts := []peer.Option{peer.WithRandom(tick.Random)}
 	for _, a := range n.settings.Seeds {
 		if a != n.settings.Peer {
 			opts = append(opts, peer.WithMember(a, "", a))
@@ -41,7 +42,7 @@
 	if err != nil {
 		return err
 	}
-	o, err := listing.NewOutbox(n.settings.Node, life, listing.WithJitter(jitter))
+	o, err := listing.NewOutbox(n.settings.Node, life, listing.WithJitter(tick.Jitter))
 	if err != nil {
 		return err
 	}
@@ -74,7 +75,7 @@
 	t.Promote = n.orders.Promote
 	t.Follow = n.servers.Follow
 	t.Resume = n.servers.Resume
-	t.Refused = platform.Refused
+	t.Refused = traffic.Refused
 	t.ReadLease = n.readLease
 	t.TakeLease = n.takeLease
 	t.FreeLease = n.freeLease
@@ -171,8 +172,9 @@
 
 // openLane starts the lane of a group.
 func (n *Node) openLane(group string) (*traffic.Lane, error) {
-	d, err := caller.NewLane(group, n.settings.Zone, caller.WithJitter(jitter), caller.WithKind(caller.Appointed(n.settings.Nearness)),
-		caller.WithPolicy(caller.Quickest(n.settings.Nearness)), caller.WithViolated(n.violated), caller.WithTrace(traced))
+	d, err := caller.NewLane(group, n.settings.Zone, caller.WithJitter(tick.Jitter),
+		caller.WithKind(caller.Appointed(n.settings.Nearness)),
+		caller.WithPolicy(caller.Quickest(n.settings.Nearness)), caller.WithViolated(n.violated), caller.WithTrace(operator.Traced))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -10,6 +10,7 @@
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/peer"
 	listing "buckthornport.example/buckthornport/internal/platform"
+	"buckthornport.example/buckthornport/internal/tick"
 	"buckthornport.example/buckthornport/platform"
 )
 
@@ -75,7 +76,7 @@
 			if pause == feedRetry {
 				n.depend("store/"+f.table, "lost", err)
 			}
-			n.sleep(pause/2 + jitter(pause/2))
+			n.sleep(pause/2 + tick.Jitter(pause/2))
 			pause = min(2*pause, feedRetryMax)
 		}
 	}
@@ -166,7 +167,7 @@
 			return
 		}
 		n.depend("store/"+tableMembers, "not_registered", failed)
-		n.sleep(pause/2 + jitter(pause/2))
+		n.sleep(pause/2 + tick.Jitter(pause/2))
 	}
 }
 
--- a/internal/fleet/log.go
+++ b/internal/fleet/log.go
@@ -1,46 +1,24 @@
 package fleet
 
 import (
-	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"buckthornport.example/buckthornport/internal/operator"
 )
 
-// traceOne is the share of requests, one in so many, whose way is logged although nothing went wrong. It is picked by the
-// request's id, so that all nodes pick the same.
-const traceOne = 32
-
-// journal logs the records of a node within bounds.
-type journal struct {
-	log     *zap.Logger
-	mu      sync.Mutex
-	limiter *operator.Limiter
-}
-
-// traced reports whether a request's way is logged although nothing went wrong.
-func traced(id string) bool {
-	return xxhash.Sum64String(id)%traceOne == 0
-}
-
 // keep logs a record, unless there were too many of its kind; it may be called from any goroutine.
 func (n *Node) keep(r operator.Record) {
 	now := n.clock()
 	if r.Node == "" {
-		r = r.WithOrigin(n.settings.Node, now, n.start.Add(now).UTC())
+		r = r.WithOrigin(n.settings.Node, now, n.wall(now))
 	}
-	n.journal.mu.Lock()
-	ok := n.journal.limiter.Admit(now, r)
-	left, told := n.journal.limiter.LeftOut(now)
-	n.journal.mu.Unlock()
-	if told {
-		n.journal.log.Info("audit", zap.Any("record", left.WithOrigin(n.settings.Node, now, n.start.Add(now).UTC())))
+	if n.limiter.Admit(now, r) {
+		n.log.Info("audit", zap.Any("record", r))
 	}
-	if ok {
-		n.journal.log.Info("audit", zap.Any("record", r))
+	if left, ok := n.limiter.LeftOut(now); ok {
+		n.log.Info("audit", zap.Any("record", left.WithOrigin(n.settings.Node, now, n.wall(now))))
 	}
 }
 
@@ -53,13 +31,6 @@
 	n.keep(r)
 }
 
-// leftOut returns how many records the limiter has left out.
-func (n *Node) leftOut() uint64 {
-	n.journal.mu.Lock()
-	defer n.journal.mu.Unlock()
-	return n.journal.limiter.Total()
-}
-
 func (n *Node) wall(elapsed time.Duration) time.Time {
 	return n.start.Add(elapsed).UTC()
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
-	"math/big"
 	"net"
 	"net/http"
 	"slices"
@@ -35,7 +33,7 @@
 	settings settings.Fleet
 	log      *zap.Logger
 	level    zap.AtomicLevel
-	journal  journal
+	limiter  *operator.Limiter
 	// logDropped counts lines that the log's writer did not take.
 	logDropped func() uint64
 	clock      tick.Clock
@@ -102,7 +100,8 @@
 // New returns a node that does not serve yet.
 func New(ctx context.Context, s settings.Fleet, opts ...Option) (*Node, error) {
 	n := &Node{
-		settings: s, log: zap.NewNop(), level: zap.NewAtomicLevel(), logDropped: func() uint64 { return 0 }, clock: tick.NewClock(), start: time.Now(), members: []string{s.Peer},
+		settings: s, log: zap.NewNop(), level: zap.NewAtomicLevel(), logDropped: func() uint64 { return 0 },
+		limiter: operator.NewLimiter(), clock: tick.NewClock(), start: time.Now(), members: []string{s.Peer},
 		lanes: map[string]*traffic.Lane{}, slots: map[string]server{}, views: map[string]upstream.GroupView{},
 	}
 	for _, o := range opts {
@@ -110,7 +109,6 @@
 			return nil, trace.Wrap(err)
 		}
 	}
-	n.journal = journal{log: n.log, limiter: operator.NewLimiter()}
 	n.ctx, n.stop = context.WithCancel(ctx)
 	n.routes.Store(newRouting(bundle.Bundle{}))
 	n.grace.Store(int64(s.GraceMS))
@@ -127,19 +125,6 @@
 	return n, nil
 }
 
-func jitter(limit time.Duration) time.Duration {
-	return time.Duration(random(int(limit) + 1))
-}
-
-// random returns a number from zero up to, but not including, n.
-func random(n int) int {
-	k, err := rand.Int(rand.Reader, big.NewInt(int64(n)))
-	if err != nil {
-		return n / 2
-	}
-	return int(k.Int64())
-}
-
 // Run serves until the context ends or Drain has finished.
 func (n *Node) Run() error {
 	var g run.Group
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -8,6 +8,7 @@
 
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/operator"
+	"buckthornport.example/buckthornport/internal/peer"
 	listing "buckthornport.example/buckthornport/internal/platform"
 	"buckthornport.example/buckthornport/internal/upstream"
 	"buckthornport.example/buckthornport/pkg/bundle"
@@ -93,17 +94,8 @@
 		}
 		l.Post(caller.Limited{
 			Server: id,
-			Slots:  max(leastSlots, share(s.slots*queuedPerSlot, len(n.members), rank)),
-			Conns:  max(1, share(g.ConnectionsPerServer, len(n.members), rank)-controlConns),
+			Slots:  max(leastSlots, peer.Share(s.slots*queuedPerSlot, len(n.members), rank)),
+			Conns:  max(1, peer.Share(g.ConnectionsPerServer, len(n.members), rank)-controlConns),
 		})
 	}
 }
-
-// share splits a total among n members, the first ones getting what does not divide.
-func share(total, n, rank int) int {
-	s := total / n
-	if rank < total%n {
-		s++
-	}
-	return s
-}
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -39,7 +39,7 @@
 	s := Status{
 		Node: n.settings.Node, Zone: n.settings.Zone, Ready: n.Ready(), ConfigVersion: n.routes.Load().bundle.Version,
 		UptimeMS: n.clock().Milliseconds(), Sessions: n.front.Open(), Accepted: n.front.Stats().Accepted.Load(),
-		Rejected: n.front.Stats().Rejected.Load(), LogLeftOut: n.leftOut(), LogDropped: n.logDropped(),
+		Rejected: n.front.Stats().Rejected.Load(), LogLeftOut: n.limiter.Total(), LogDropped: n.logDropped(),
 	}
 	s.PeerBytes, s.PeerDropped = n.link.Counts()
 	s.StoreCalls, s.StoreFailed = n.store.Counts()
@@ -120,8 +120,13 @@
 		outcome string
 		value   uint64
 	}{
-		{"asked", l.Stats.Requests}, {"refused", l.Stats.Refused}, {"unknown", l.Stats.Unknown}, {"sent_again", l.Stats.Retried},
-		{"declined", l.Stats.Declined}, {"stray", l.Stats.StrayMessages}, {"violation", l.Stats.Violations},
+		{"asked", l.Stats.Requests},
+		{"refused", l.Stats.Refused},
+		{"unknown", l.Stats.Unknown},
+		{"sent_again", l.Stats.Retried},
+		{"declined", l.Stats.Declined},
+		{"stray", l.Stats.StrayMessages},
+		{"violation", l.Stats.Violations},
 	} {
 		line("requests_total", group+fmt.Sprintf(",outcome=%q", k.outcome), k.value)
 	}
--- a/internal/operator/limiter.go
+++ b/internal/operator/limiter.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -14,8 +17,9 @@
 	tellEvery = 5 * time.Second
 )
 
-// Limiter bounds how many records of each kind and cause are logged.
+// Limiter bounds how many records of each kind and cause are logged; it may be used by any goroutine.
 type Limiter struct {
+	mu     sync.Mutex
 	window time.Duration
 	told   time.Duration
 	counts map[subject]int
@@ -35,6 +39,8 @@
 
 // Admit reports whether a record may be logged now.
 func (l *Limiter) Admit(now time.Duration, r Record) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if now-l.window >= time.Second {
 		l.window = now
 		clear(l.counts)
@@ -51,6 +57,8 @@
 
 // LeftOut returns a record of what was left out since the last one, if it is time for it.
 func (l *Limiter) LeftOut(now time.Duration) (Record, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if len(l.left) == 0 || now-l.told < tellEvery {
 		return Record{}, false
 	}
@@ -70,5 +78,16 @@
 
 // Total returns how many records were left out since the start.
 func (l *Limiter) Total() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	return l.total
 }
+
+// traceOne is the share of requests, one in so many, whose way is logged although nothing went wrong.
+const traceOne = 32
+
+// Traced reports whether a request's way is logged although nothing went wrong; it depends on the id alone, so that all nodes
+// pick the same requests.
+func Traced(id string) bool {
+	return xxhash.Sum64String(id)%traceOne == 0
+}
--- a/internal/operator/logs.go
+++ b/internal/operator/logs.go
@@ -119,7 +119,8 @@
 	case r.Cause == "outcome_unknown":
 		return "the read's answer was lost or nothing showed in time that its primary still led; nothing was changed by it."
 	case r.value("reason") == "overload":
-		return fmt.Sprintf("no server had room within the time that the request could wait (%s queued); it did not run.", r.value("queued"))
+		return fmt.Sprintf("no server had room within the time that the request could wait (%s queued); it did not run.",
+			r.value("queued"))
 	case r.value("reason") == "no_primary" || r.value("suspect") == "true":
 		return fmt.Sprintf("the group had no primary that could be relied on (%s, suspect %s); it did not run.",
 			r.value("primary"), r.value("suspect"))
--- a/internal/peer/rendezvous.go
+++ b/internal/peer/rendezvous.go
@@ -18,3 +18,12 @@
 func weight(node, duty string) uint64 {
 	return xxhash.Sum64String(node + "\x00" + duty)
 }
+
+// Share splits a total among n members, the first ones getting what does not divide.
+func Share(total, n, rank int) int {
+	s := total / n
+	if rank < total%n {
+		s++
+	}
+	return s
+}
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"crypto/tls"
-	"errors"
 	"io"
 	"net"
 	"sync"
@@ -16,6 +15,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"buckthornport.example/buckthornport/internal/peer"
+	"buckthornport.example/buckthornport/internal/traffic"
 )
 
 const (
@@ -23,7 +23,6 @@
 	writeTimeout    = 2 * time.Second
 	maxMessageBytes = 8 << 20
 	queueLength     = 64
-	acceptBackoff   = 20 * time.Millisecond
 )
 
 // Link sends and receives messages; a message that cannot be sent in time is dropped, as the protocol allows.
@@ -70,17 +69,7 @@
 
 // Serve accepts connections of peers until the listener is closed.
 func (l *Link) Serve(listener net.Listener) error {
-	for {
-		conn, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			time.Sleep(acceptBackoff)
-			continue
-		}
-		go l.accept(conn)
-	}
+	return traffic.Accept(listener, l.accept, func(error) {})
 }
 
 func (l *Link) accept(conn net.Conn) {
--- a/internal/pgwire/answer.go
+++ b/internal/pgwire/answer.go
@@ -75,9 +75,9 @@
 		status = 'E'
 	}
 	x.failed = true
-	detail := ""
+	detail := "request=" + x.caller.requestID(x.seq)
 	if a.Refusal.Key != "" {
-		detail = "key=" + a.Refusal.Key
+		detail = "key=" + a.Refusal.Key + " " + detail
 	}
 	out := errorBytes("ERROR", a.Refusal.SQLState(), a.Refusal.Error(), detail, hint(a.Refusal), status)
 	x.finish(out, status)
--- a/internal/pgwire/caller.go
+++ b/internal/pgwire/caller.go
@@ -242,13 +242,18 @@
 // statement is what decisions learn of a request.
 func (c *Caller) statement(u unit) caller.Statement {
 	class, version := c.front.Classify(c.database, u.form.Verb, u.form.Tables)
-	s := caller.Statement{Kind: u.form.Kind, Class: class, Version: version, Writes: u.writes()}
+	s := caller.Statement{Kind: u.form.Kind, Class: class, Version: version, Writes: u.writes(), ID: c.requestID(c.seq)}
 	if class.NotRepeatable && (u.form.Kind == caller.KindWrite || s.Writes) {
 		s.Key = c.nextKey()
 	}
 	return s
 }
 
+// requestID names one of the session's requests in logs and refusals.
+func (c *Caller) requestID(seq uint64) string {
+	return fmt.Sprintf("%s-%d-%d", c.front.keyPrefix, c.id, seq)
+}
+
 // nextKey is the key that the caller set for its next request, or one that the proxy makes.
 func (c *Caller) nextKey() string {
 	if k := c.key; k != "" {
--- a/internal/pgwire/front.go
+++ b/internal/pgwire/front.go
@@ -23,7 +23,6 @@
 
 const (
 	startupTimeout  = 10 * time.Second
-	acceptBackoff   = 20 * time.Millisecond
 	maxStartupBytes = 16 << 10
 	serverVersion   = "16.0 (buckthornport)"
 	codeSSL         = 80877103
@@ -96,21 +95,9 @@
 	return &f.stats
 }
 
-// Serve accepts connections until the listener is closed. Other errors, such as too many open files, pass by themselves
-// when callers leave, so they must not end the node.
+// Serve accepts connections until the listener is closed.
 func (f *Front) Serve(l net.Listener) error {
-	for {
-		conn, err := l.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
-			return nil
-		case err != nil:
-			f.stats.AcceptErrors.Add(1)
-			time.Sleep(acceptBackoff)
-		default:
-			go f.accept(conn)
-		}
-	}
+	return traffic.Accept(l, f.accept, func(error) { f.stats.AcceptErrors.Add(1) })
 }
 
 // Drain refuses all callers that come from now on.
--- a/internal/pgwire/group.go
+++ b/internal/pgwire/group.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"sync"
-	"syscall"
 
 	"github.com/jackc/pgx/v5/pgconn"
 
@@ -89,12 +86,6 @@
 	}, err
 }
 
-// Refused reports whether an error means that the VM answered and nobody listens there.
-func Refused(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) ||
-		errors.Is(err, io.ErrUnexpectedEOF)
-}
-
 // ask runs one statement whose only value is JSON.
 func (g *GroupControl) ask(ctx context.Context, address, sql string, into any) error {
 	c, err := g.take(ctx, address)
--- a/internal/pgwire/upstream.go
+++ b/internal/pgwire/upstream.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"net"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -117,27 +115,9 @@
 	return false
 }
 
-// alive reports whether the server has closed the connection while it was idle.
+// alive reports whether the connection can be used; one that was used just now is not looked at.
 func (u *Upstream) alive() bool {
-	raw, ok := u.conn.(syscall.Conn)
-	if !ok || time.Since(u.lastUse) < time.Millisecond {
-		return true
-	}
-	var rc syscall.RawConn
-	var err error
-	if rc, err = raw.SyscallConn(); err != nil {
-		return false
-	}
-	open := true
-	if err := rc.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = n > 0 || errors.Is(err, syscall.EAGAIN)
-		return true
-	}); err != nil {
-		return false
-	}
-	return open
+	return time.Since(u.lastUse) < time.Millisecond || traffic.Quiet(u.conn)
 }
 
 // run sees a request through: what the connection lacks, the request itself and the key that goes with it.
--- a/internal/platform/directory.go
+++ b/internal/platform/directory.go
@@ -79,7 +79,7 @@
 	for _, e := range es {
 		switch e := e.(type) {
 		case EntryWritten:
-			d.write(now, e.Entry)
+			d.write(e.Entry)
 		case EntryDropped:
 			d.drop(now, e.ID)
 		case ListRead:
@@ -100,7 +100,7 @@
 	return d.entries.Len()
 }
 
-func (d *Directory) write(now time.Duration, e Entry) {
+func (d *Directory) write(e Entry) {
 	old, known := d.entries.Get(e.ID)
 	d.entries.Put(e.ID, e)
 	d.entries.Wake(e.ID, table.Never)
@@ -131,7 +131,7 @@
 	listed := map[string]bool{}
 	for _, e := range es {
 		listed[e.ID] = true
-		d.write(now, e)
+		d.write(e)
 	}
 	for _, k := range d.entries.Keys() {
 		if !listed[k] {
--- a/internal/proxy/adopt.go
+++ b/internal/proxy/adopt.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"buckthornport.example/buckthornport/internal/caller"
+	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/traffic"
 	"buckthornport.example/buckthornport/internal/upstream"
 	"buckthornport.example/buckthornport/pkg/bundle"
@@ -61,17 +62,8 @@
 	for i, s := range g.Servers {
 		l.Post(caller.Limited{
 			Server: s.Name,
-			Slots:  share(g.SlotsPerServer, len(members), rank),
-			Conns:  max(1, share(share(g.Connections, len(g.Servers), i), len(members), rank)),
+			Slots:  peer.Share(g.SlotsPerServer, len(members), rank),
+			Conns:  max(1, peer.Share(peer.Share(g.Connections, len(g.Servers), i), len(members), rank)),
 		})
 	}
 }
-
-// share splits a total among n members, the first ones getting what does not divide.
-func share(total, n, rank int) int {
-	s := total / n
-	if rank < total%n {
-		s++
-	}
-	return s
-}
--- a/internal/proxy/assemble.go
+++ b/internal/proxy/assemble.go
@@ -12,10 +12,12 @@
 
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/control"
+	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/peerlink"
 	"buckthornport.example/buckthornport/internal/pgwire"
 	"buckthornport.example/buckthornport/internal/platform"
+	"buckthornport.example/buckthornport/internal/tick"
 	"buckthornport.example/buckthornport/internal/traffic"
 	"buckthornport.example/buckthornport/internal/upstream"
 	"buckthornport.example/buckthornport/pkg/bundle"
@@ -34,7 +36,7 @@
 		return err
 	}
 	life := uint64(n.start.UnixNano())
-	opts := []peer.Option{peer.WithRandom(random)}
+	opts := []peer.Option{peer.WithRandom(tick.Random)}
 	for _, p := range n.settings.Peers {
 		opts = append(opts, peer.WithMember(p.Name, p.Zone, p.Address))
 	}
@@ -42,7 +44,7 @@
 	if err != nil {
 		return err
 	}
-	o, err := platform.NewOutbox(n.settings.Node, life, platform.WithJitter(jitter))
+	o, err := platform.NewOutbox(n.settings.Node, life, platform.WithJitter(tick.Jitter))
 	if err != nil {
 		return err
 	}
@@ -54,7 +56,7 @@
 }
 
 func (n *Node) newWatch() (*upstream.Watch, error) {
-	opts := []upstream.Option{upstream.WithJitter(jitter)}
+	opts := []upstream.Option{upstream.WithJitter(tick.Jitter)}
 	for _, g := range n.Bundle().Groups {
 		for _, s := range g.Servers {
 			opts = append(opts, upstream.WithServer(s.Name, g.Name, s.Zone, s.Address))
@@ -71,7 +73,7 @@
 	t.Promise = n.orders.Promise
 	t.Promote = n.orders.Promote
 	t.Follow = n.orders.Follow
-	t.Refused = pgwire.Refused
+	t.Refused = traffic.Refused
 	t.Send = func(a peer.Send) { n.link.Send(a.Address, a.Message) }
 	t.Put = n.putRecords
 	t.Intend = n.intend
@@ -112,7 +114,10 @@
 // openLane starts the lane of a group.
 func (n *Node) openLane(g bundle.Group) (*traffic.Lane, error) {
 	policy, _ := caller.PolicyNamed(n.settings.Policy)
-	opts := []caller.Option{caller.WithJitter(jitter), caller.WithPolicy(policy), caller.WithViolated(n.violated)}
+	opts := []caller.Option{
+		caller.WithJitter(tick.Jitter), caller.WithPolicy(policy), caller.WithViolated(n.violated),
+		caller.WithTrace(operator.Traced),
+	}
 	if policy.Leases {
 		opts = append(opts, caller.WithSlotLeases(uint64(n.start.UnixNano())))
 	}
@@ -121,7 +126,7 @@
 		return nil, err
 	}
 	l := traffic.NewLane(n.ctx, g.Name, n.clock, d)
-	l.Note = n.Note
+	l.Note = n.noteLane
 	l.Hold = n.newControl().Hold
 	l.Slots = n.newControl().Slots
 	l.Callers = n.front.Callers(g.Name)
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"encoding/base64"
 	"errors"
 	"fmt"
-	"math/big"
 	"net"
 	"slices"
 	"sync"
@@ -41,6 +39,7 @@
 type Node struct {
 	settings settings.Proxy
 	log      *zap.Logger
+	limiter  *operator.Limiter
 	clock    tick.Clock
 	start    time.Time
 	signer   *session.Signer
@@ -78,7 +77,7 @@
 // New returns a node that does not serve yet; it works under b until it learns of a newer bundle.
 func New(ctx context.Context, s settings.Proxy, b bundle.Bundle, opts ...Option) (*Node, error) {
 	n := &Node{
-		settings: s, log: zap.NewNop(), clock: tick.NewClock(), start: time.Now(), members: []string{s.Node},
+		settings: s, log: zap.NewNop(), limiter: operator.NewLimiter(), clock: tick.NewClock(), start: time.Now(), members: []string{s.Node},
 		lanes: map[string]*traffic.Lane{}, ready: make(chan struct{}),
 	}
 	n.bundle.Store(&b)
@@ -110,19 +109,6 @@
 	return n, nil
 }
 
-func jitter(limit time.Duration) time.Duration {
-	return time.Duration(random(int(limit) + 1))
-}
-
-// random returns a number from zero up to, but not including, n.
-func random(n int) int {
-	k, err := rand.Int(rand.Reader, big.NewInt(int64(n)))
-	if err != nil {
-		return n / 2
-	}
-	return int(k.Int64())
-}
-
 // Run serves until the context ends or Drain has finished.
 func (n *Node) Run() error {
 	listener, err := net.Listen("tcp", n.settings.Listen)
@@ -184,6 +170,22 @@
 	return *n.bundle.Load()
 }
 
+// noteLane takes a record from a lane. What concerns one request goes to the log alone, within bounds; the audit trail is for
+// changes that others ask about later.
+func (n *Node) noteLane(r operator.Record) {
+	if r.Kind != operator.KindRequest {
+		n.Note(r)
+		return
+	}
+	now := n.clock()
+	if n.limiter.Admit(now, r) {
+		n.log.Info("audit", zap.Any("record", r.WithOrigin(n.settings.Node, now, n.start.Add(now).UTC())))
+	}
+	if left, ok := n.limiter.LeftOut(now); ok {
+		n.Note(left)
+	}
+}
+
 // Note puts a record of something outside the control decisions into the audit trail.
 func (n *Node) Note(r operator.Record) {
 	n.thread.Post(control.Report{Record: r})
--- /dev/null
+++ b/internal/traffic/conns.go
@@ -0,0 +1,57 @@
+package traffic
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"time"
+)
+
+// acceptBackoff is the pause after a connection that the operating system did not let in.
+const acceptBackoff = 20 * time.Millisecond
+
+// Accept hands each new connection to a goroutine of its own until the listener is closed. Other errors, such as too many open
+// files, are reported and pass by themselves when callers leave, so they must not end the node.
+func Accept(l net.Listener, take func(conn net.Conn), failed func(err error)) error {
+	for {
+		conn, err := l.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case err != nil:
+			failed(err)
+			time.Sleep(acceptBackoff)
+		default:
+			go take(conn)
+		}
+	}
+}
+
+// Quiet reports whether an idle connection is still open and has nothing to be read, which nobody has asked for.
+func Quiet(conn net.Conn) bool {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := true
+	if err := rc.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = n <= 0 && errors.Is(err, syscall.EAGAIN)
+		return true
+	}); err != nil {
+		return false
+	}
+	return quiet
+}
+
+// Refused reports whether an error means that the VM answered and nobody serves there.
+func Refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) ||
+		errors.Is(err, io.ErrUnexpectedEOF)
+}
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -22,8 +22,8 @@
 	leaseTimeout = 1500 * time.Millisecond
 )
 
-// Lease is a node's right to order changes of primary in one group, under a fencing token that only grows. Version is that of the row
-// in the store, zero for none, and an empty holder stands for a lease that was given back.
+// Lease is a node's right to order changes of primary in one group, under a fencing token that only grows. Version is that of
+// the row in the store, zero for none, and an empty holder stands for a lease that was given back.
 type Lease struct {
 	Token  uint64 `json:"token"`
 	Holder string `json:"holder"`
--- a/internal/upstream/suspect.go
+++ b/internal/upstream/suspect.go
@@ -141,7 +141,8 @@
 		return CauseClosed
 	case silent >= majority:
 		return CauseSilent
-	case p.Fresh(e.Now, e.Times.FreshFor) && p.Status.Role == RolePrimary && p.Status.QuorumAge >= e.Times.Silence && fresh >= majority:
+	case p.Fresh(e.Now, e.Times.FreshFor) && p.Status.Role == RolePrimary && p.Status.QuorumAge >= e.Times.Silence &&
+		fresh >= majority:
 		return CauseQuorumLost
 	}
 	return ""
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -50,7 +50,8 @@
 
 func (w *Watch) view(now time.Duration, g Group) GroupView {
 	v := GroupView{
-		Name: g.Name, Term: g.Term, Primary: g.Primary, Suspect: g.Suspect, Forks: g.Forks, LedAt: g.LedAt, Fenced: g.Unmended != 0 && w.kind.Leases,
+		Name: g.Name, Term: g.Term, Primary: g.Primary, Suspect: g.Suspect, Forks: g.Forks, LedAt: g.LedAt,
+		Fenced:      g.Unmended != 0 && w.kind.Leases,
 		EvidenceTTL: w.kind.Times.EvidenceTTL,
 	}
 	if n := len(g.Samples); n > 0 {
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -381,6 +381,7 @@
 	}
 	return w.kind.Times.ProbeFar
 }
+
 func (w *Watch) note(r operator.Record) {
 	w.out = append(w.out, Note{Record: r})
 }
