--- a/cmd/buckthornport/demo.go
+++ b/cmd/buckthornport/demo.go
@@ -39,6 +39,7 @@
 	LagMS    int    `default:"50" help:"Replication lag in milliseconds."`
 	Service  int    `default:"0" help:"Time in microseconds that every statement holds its slot, besides its work."`
 	LogLevel string `enum:"debug,info,warn,error" default:"info" help:"Lowest level that is logged."`
+	Lines    bool   `help:"Run on a stand-in of the users' platform, whose callers speak lines."`
 }
 
 // Run starts a group, a platform and two proxies, and prints what to try.
@@ -47,6 +48,9 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	if c.Lines {
+		return c.runLines(env, log)
+	}
 	d, err := c.deployment(log)
 	if err != nil {
 		return trace.Wrap(err)
