--- a/internal/fleet/whole_test.go
+++ b/internal/fleet/whole_test.go
@@ -316,6 +316,78 @@
 	})
 }
 
+// TestFleetChanges starts, stops and misleads nodes.
+func TestFleetChanges(t *testing.T) {
+	t.Run("all nodes are replaced at once", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 2)
+		assertAnswers(connect(c, d.nodes[0], "ledger"), "WRITE a 1", nil, "I")
+		old := d.nodes
+		for _, n := range old {
+			n.Stop()
+		}
+		d.nodes = nil
+		for i := range 2 {
+			d.start(c, fmt.Sprintf("new-%d", i+1), old[0].settings.Store)
+		}
+		for _, n := range d.nodes {
+			waitUntil(c, "new node is ready", n.Ready)
+		}
+		assertAnswers(connect(c, d.nodes[1], "ledger"), "READ a", []string{"1"}, "I")
+	})
+	t.Run("a node is added", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 1)
+		d.start(c, "added", d.nodes[0].settings.Store)
+		for _, n := range d.nodes {
+			waitUntil(c, "both nodes know of each other", func() bool { return len(n.Status().Members) == 2 })
+		}
+		assertAnswers(connect(c, d.nodes[1], "ledger"), "WRITE a 1", nil, "I")
+	})
+	t.Run("another service has a server's address", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 1)
+		c.Assert(d.platform.AddGroup("other", []string{"a", "b", "m"}, time.Millisecond), qt.IsNil)
+		d.platform.Mislead("books", 1, "other", 1)
+		s := connect(c, d.nodes[0], "board")
+		for range 30 {
+			assertAnswers(s, "READ a", []string{"none"}, "I")
+		}
+		c.Assert(d.platform.Reads("other"), qt.Equals, 0)
+	})
+	t.Run("configurations come in a storm", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 1)
+		s := connect(c, d.nodes[0], "ledger")
+		more := ""
+		for i := range 350 {
+			more += fmt.Sprintf(`,{"Name":"m%d","Host":"more%d","Kind":"primary","TimeoutMs":8000,"Service":"books"}`, i, i)
+			if i%10 == 9 {
+				d.platform.Put("op", "config", fmt.Appendf(nil, config, 10+i, more))
+				assertAnswers(s, fmt.Sprintf("WRITE a %d", i), nil, "I")
+			}
+		}
+		waitUntil(c, "the last one is in force", func() bool {
+			_, ok := d.nodes[0].route("more349")
+			return ok
+		})
+		assertAnswers(connect(c, d.nodes[0], "more349"), "READ a", []string{"349"}, "I")
+	})
+	t.Run("connections to servers are reset", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 1)
+		s := connect(c, d.nodes[0], "ledger")
+		for i := range 10 {
+			assertAnswers(s, fmt.Sprintf("WRITE a %d", i), nil, "I")
+			for n := range 3 {
+				d.platform.Set("books", n, metadata.Reset())
+			}
+		}
+		assertAnswers(s, "READ a", []string{"9"}, "I")
+		assertNothingBroken(c, d)
+	})
+}
+
 // TestDrain ends sessions between their transactions and keeps those that are in one.
 func TestDrain(t *testing.T) {
 	c := qt.New(t)
--- a/internal/standin/metadata/group.go
+++ b/internal/standin/metadata/group.go
@@ -44,6 +44,7 @@
 	deaf    bool
 	lag     time.Duration
 	applied []time.Time
+	reads   int
 }
 
 // AddGroup starts a group of servers on loopback, one in each zone, and lists them; the first is its primary. An order to
@@ -108,6 +109,11 @@
 	return func(_ *Platform, s *server) { s.deaf = on }
 }
 
+// Reset cuts all connections to a server.
+func Reset() Switch {
+	return func(_ *Platform, s *server) { s.cut() }
+}
+
 // Lag has a replica apply entries later.
 func Lag(d time.Duration) Switch {
 	return func(_ *Platform, s *server) { s.lag = d }
@@ -132,6 +138,27 @@
 	change(p, p.groups[name].servers[n])
 }
 
+// Mislead lists a server under the address of another group's.
+func (p *Platform) Mislead(name string, n int, other string, m int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.groups[name].servers[n]
+	s.listener = p.groups[other].servers[m].listener
+	s.cut()
+	p.list(s, "ready")
+}
+
+// Reads returns how many reads the servers of a group have run.
+func (p *Platform) Reads(name string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, s := range p.groups[name].servers {
+		n += s.reads
+	}
+	return n
+}
+
 // Primary returns the number of the server that leads the newest term, and the term.
 func (p *Platform) Primary(name string) (int, uint64) {
 	p.mu.Lock()
--- a/internal/standin/metadata/serve.go
+++ b/internal/standin/metadata/serve.go
@@ -132,6 +132,7 @@
 func (b *backend) statement(fs []string) (string, bool) {
 	switch fs[0] {
 	case "READ":
+		b.s.reads++
 		v, ok := b.writes[fs[1]]
 		if !ok {
 			v = b.s.value(fs[1])
--- a/internal/upstream/appointed_test.go
+++ b/internal/upstream/appointed_test.go
@@ -27,6 +27,7 @@
 	pending   []pendingEvent
 	ordered   []upstream.OrderPromote
 	paused    []string
+	followed  []string
 	resumed   []string
 	view      upstream.GroupView
 	notes     []operator.Record
@@ -116,6 +117,8 @@
 		st.Promised = 0
 		r.status[a.Server] = st
 		r.resumed = append(r.resumed, a.Server)
+	case upstream.OrderFollow:
+		r.followed = append(r.followed, a.Server)
 	case upstream.OrderPromote:
 		r.ordered = append(r.ordered, a)
 		r.later(upstream.Promoted{Server: a.Server, Term: a.Term, Accepted: true})
@@ -258,6 +261,14 @@
 		r.run(2 * time.Second)
 		assertOrdered(r, "b")
 	})
+	t.Run("a server that leaves, if it alone holds what was acknowledged", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.tell(r.entry("a", true))
+		r.hold("b", at(1, 90))
+		r.refuses["p"] = true
+		r.run(2 * time.Second)
+		assertOrdered(r, "a")
+	})
 	t.Run("nobody while a replica cannot be asked", func(t *testing.T) {
 		r := newRig(qt.New(t))
 		r.refuses["p"] = true
@@ -392,6 +403,54 @@
 	})
 }
 
+func TestDeposedPrimary(t *testing.T) {
+	r := newRig(qt.New(t))
+	r.silent["p"] = true
+	r.run(2500 * time.Millisecond)
+	r.appoint("a")
+	r.run(500 * time.Millisecond)
+	r.c.Assert(r.view.Primary, qt.Equals, "a")
+	delete(r.silent, "p")
+	r.run(2 * time.Second)
+	r.c.Assert(r.followed, qt.Contains, "p")
+	r.c.Assert(r.view.Primary, qt.Equals, "a")
+}
+
+// TestTwoPromoters has two watches see one dead primary with one lease between them.
+func TestTwoPromoters(t *testing.T) {
+	c := qt.New(t)
+	a, b := newRig(c), newRig(c)
+	other, err := upstream.NewWatch("n1", upstream.WithKind(upstream.Appointed()))
+	c.Assert(err, qt.IsNil)
+	b.w = other
+	for _, n := range []string{"p", "a", "b"} {
+		b.tell(b.entry(n, false))
+	}
+	b.tell(upstream.Served{Group: "g", On: true})
+	b.run(100 * time.Millisecond)
+	a.run(100 * time.Millisecond)
+	a.refuses["p"], b.refuses["p"] = true, true
+	var tokens []uint64
+	for range 15000 {
+		before := len(a.ordered) + len(b.ordered)
+		a.run(time.Millisecond)
+		b.lease, b.status = a.lease, a.status
+		b.run(time.Millisecond)
+		a.lease = b.lease
+		if len(a.ordered)+len(b.ordered) > before {
+			for _, r := range []*rig{a, b} {
+				for _, o := range r.ordered[max(0, len(r.ordered)-1):] {
+					if n := len(tokens); n == 0 || o.Token > tokens[n-1] {
+						tokens = append(tokens, o.Token)
+					}
+				}
+			}
+		}
+	}
+	c.Assert(len(tokens), qt.Equals, len(a.ordered)+len(b.ordered), qt.Commentf("each order has a token above all before it"))
+	c.Assert(len(tokens) > 1, qt.IsTrue)
+}
+
 func TestEvidenceOfLeadership(t *testing.T) {
 	led := func(r *rig) time.Duration {
 		r.run(4 * time.Second)
