--- a/cmd/buckthornport/demo_lines.go
+++ b/cmd/buckthornport/demo_lines.go
@@ -20,7 +20,7 @@
 const demoConfig = `{"Version": 1, "Routes": [
   {"Name": "ledger", "Host": "ledger", "Kind": "primary", "TimeoutMs": 3000, "TargetLatencyMs": 400, "Service": "books"},
   {"Name": "board", "Host": "board", "Kind": "bounded_staleness", "TimeoutMs": 3000, "Service": "books", "MaxStalenessMs": 1500},
-  {"Name": "tickets", "Host": "tickets", "Kind": "read_your_writes", "TimeoutMs": 3000, "Service": "books", "MaxStalenessMs": 2500}],
+  {"Name": "tickets", "Host": "tickets", "Kind": "read_your_writes", "Service": "books", "MaxStalenessMs": 2500}],
  "Services": [{"Name": "books", "MaxConns": 33, "SyncReplicas": 1}], "Limits": {"TxIdleMs": 3000}}`
 
 const demoPromote = 600 * time.Millisecond
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -77,7 +77,8 @@
 // New returns a node that does not serve yet; it works under b until it learns of a newer bundle.
 func New(ctx context.Context, s settings.Proxy, b bundle.Bundle, opts ...Option) (*Node, error) {
 	n := &Node{
-		settings: s, log: zap.NewNop(), limiter: operator.NewLimiter(), clock: tick.NewClock(), start: time.Now(), members: []string{s.Node},
+		settings: s, log: zap.NewNop(), limiter: operator.NewLimiter(),
+		clock: tick.NewClock(), start: time.Now(), members: []string{s.Node},
 		lanes: map[string]*traffic.Lane{}, ready: make(chan struct{}),
 	}
 	n.bundle.Store(&b)
