--- a/internal/standin/metadata/group.go
+++ b/internal/standin/metadata/group.go
@@ -33,11 +33,13 @@
 	group    *group
 	zone     string
 	listener net.Listener
-	conns    map[net.Conn]bool
-	primary  bool
-	term     uint64
-	held     uint64
-	log      []entry
+	// address is what the platform lists, which may be another's.
+	address string
+	conns   map[net.Conn]bool
+	primary bool
+	term    uint64
+	held    uint64
+	log     []entry
 	// down refuses connections, dark leaves them unanswered, deaf receives nothing, lag delays what is applied.
 	down    bool
 	dark    bool
@@ -57,7 +59,7 @@
 			return err
 		}
 		s := &server{
-			id: fmt.Sprintf("i-%s-%d", name, i+1), group: g, zone: z, listener: l, conns: map[net.Conn]bool{},
+			id: fmt.Sprintf("i-%s-%d", name, i+1), group: g, zone: z, listener: l, address: l.Addr().String(), conns: map[net.Conn]bool{},
 			primary: i == 0, term: 1,
 		}
 		g.servers = append(g.servers, s)
@@ -79,7 +81,7 @@
 		role = "primary"
 	}
 	raw, err := json.Marshal(map[string]any{
-		"Service": s.group.name, "Addr": s.listener.Addr().String(), "Zone": s.zone, "Version": "v1", "Capacity": 5,
+		"Service": s.group.name, "Addr": s.address, "Zone": s.zone, "Version": "v1", "Capacity": 5,
 		"State": state, "WarmupLeftMs": 0, "DbRole": role, "Seq": p.version, "born": 1,
 	})
 	if err != nil {
@@ -143,7 +145,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s := p.groups[name].servers[n]
-	s.listener = p.groups[other].servers[m].listener
+	s.address = p.groups[other].servers[m].address
 	s.cut()
 	p.list(s, "ready")
 }
