--- a/internal/caller/appointed_test.go
+++ b/internal/caller/appointed_test.go
@@ -216,6 +216,17 @@
 		l.c.Assert(s.Need.IsZero(), qt.IsTrue)
 		l.c.Assert(s.Hold, qt.IsTrue)
 	})
+	t.Run("take the primary when no connection to a replica opens", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		l.reply(only[caller.Send](l.c, l.ask(1, write)), 21)
+		l.now += 100 * time.Millisecond
+		l.step(caller.SessionOpened{Session: 2, HasFloor: true})
+		as, wake := l.lane.Step(l.now, []caller.Event{caller.Asked{Session: 2, Seq: 1, Statement: agedRead}})
+		l.c.Assert(has[caller.Send](as), qt.IsFalse)
+		l.c.Assert(wake <= l.now+50*time.Millisecond, qt.IsTrue, qt.Commentf("wakes after %v", wake-l.now))
+		l.now = wake
+		l.c.Assert(has[caller.Send](l.step()), qt.IsTrue)
+	})
 	t.Run("go elsewhere when a replica lacks the position", func(t *testing.T) {
 		l := newLane(qt.New(t))
 		l.warm()
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -26,28 +26,30 @@
 	flows     *table.Table[int, flow]
 	costs     *table.Table[string, classCost]
 	now       time.Duration
-	leases    *table.Table[string, lease]
-	wants     map[string]demand
-	leasing   bool
-	lastAsk   uint64
-	view      upstream.GroupView
-	queues    [queueCount][]RequestID
-	proving   []RequestID
-	floors    []SessionID
-	lastReq   RequestID
-	lastConn  ConnID
-	lastProof uint64
-	proveAt   time.Duration
-	retries   float64
-	rotation  int
-	draining  bool
-	ttl       time.Duration
-	jitter    func(limit time.Duration) time.Duration
-	violated  func(invariant, detail string)
-	trace     func(id string) bool
-	stats     Stats
-	out       []Action
-	systems   []system
+	// sparedUntil is when the first read that waits for a replica may take the primary, zero for none.
+	sparedUntil time.Duration
+	leases      *table.Table[string, lease]
+	wants       map[string]demand
+	leasing     bool
+	lastAsk     uint64
+	view        upstream.GroupView
+	queues      [queueCount][]RequestID
+	proving     []RequestID
+	floors      []SessionID
+	lastReq     RequestID
+	lastConn    ConnID
+	lastProof   uint64
+	proveAt     time.Duration
+	retries     float64
+	rotation    int
+	draining    bool
+	ttl         time.Duration
+	jitter      func(limit time.Duration) time.Duration
+	violated    func(invariant, detail string)
+	trace       func(id string) bool
+	stats       Stats
+	out         []Action
+	systems     []system
 }
 
 type system struct {
@@ -187,6 +189,9 @@
 func (l *Lane) nextWake(now time.Duration) time.Duration {
 	wake := min(l.requests.NextDue(), l.sessions.NextDue(), l.conns.NextDue(), l.proofs.NextDue(), l.servers.NextDue(),
 		l.leases.NextDue())
+	if l.sparedUntil != 0 {
+		wake = min(wake, max(now, l.sparedUntil))
+	}
 	if l.wantsProof() {
 		wake = min(wake, max(now, l.proveAt))
 	}
--- a/internal/caller/policy.go
+++ b/internal/caller/policy.go
@@ -151,6 +151,9 @@
 const (
 	// unmeasured is what an answer of a server is taken to take before the first came.
 	unmeasured = 20 * time.Millisecond
+	// connectPatience is how long a read waits for a connection to a replica that is being opened, which takes 12 ms and the way
+	// there and back, before it takes a slot of the primary.
+	connectPatience = 30 * time.Millisecond
 	// spareFor is above the pauses between a session's statements. Connections of nodes that lost power count at a server for
 	// seconds, in which only what the others did not use can be opened.
 	spareFor = 300 * time.Millisecond
@@ -169,7 +172,7 @@
 	p := Ours()
 	p.Name = "quickest"
 	p.Leases = false
-	p.ReplicaPatience = 0
+	p.ReplicaPatience = connectPatience
 	p.Order = orderByCost
 	p.Patience = withinObjective
 	p.Warm = 1
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -92,6 +92,7 @@
 	l.requests.TakeDirty()
 	l.conns.TakeDirty()
 	l.servers.TakeDue(now)
+	l.sparedUntil = 0
 	wanted := map[string]int{}
 	for q := range l.queues {
 		l.dispatch(now, QueueID(q), wanted)
@@ -174,7 +175,14 @@
 
 // sparesPrimary reports whether a read should wait a little for a replica instead of taking a slot of the primary.
 func (l *Lane) sparesPrimary(now time.Duration, r Request, cs []Server, row Server) bool {
-	return len(cs) > 1 && r.Phase != PhaseSettling && row.View.Name == l.view.Primary && now-r.Arrived < l.policy.ReplicaPatience
+	until := r.Arrived + l.policy.ReplicaPatience
+	if len(cs) < 2 || r.Phase == PhaseSettling || row.View.Name != l.view.Primary || now >= until {
+		return false
+	}
+	if l.sparedUntil == 0 || until < l.sparedUntil {
+		l.sparedUntil = until
+	}
+	return true
 }
 
 // want notes that a request waits for a slot of a server.
