Have a primary that answers step down before another is ordered

Ruled out: pausing newcomers when they are listed, which comes 25 ms after they have acknowledged. Commits are not sent, and their answers not believed, while a group's primary is being replaced.

--- a/internal/caller/appointed_test.go
+++ b/internal/caller/appointed_test.go
@@ -311,6 +311,35 @@
 	})
 }
 
+func TestCommitsWhileThePrimaryIsReplaced(t *testing.T) {
+	replace := func(l *lane) {
+		v := l.view
+		v.Fenced = true
+		l.step(caller.Viewed{View: v})
+	}
+	t.Run("are not sent", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		as := l.ask(1, begin)
+		s := only[caller.Send](l.c, as)
+		l.settle(l.step(caller.Replied{Conn: s.Conn, Request: s.Request, Open: true}))
+		l.prove(as, 1)
+		s = only[caller.Send](l.c, l.ask(1, write))
+		l.step(caller.Replied{Conn: s.Conn, Request: s.Request, Open: true})
+		replace(l)
+		as = l.ask(1, commit)
+		l.c.Assert(has[caller.Send](as), qt.IsFalse)
+		l.c.Assert(only[caller.Refuse](l.c, as).Refusal.Reason, qt.Equals, caller.ReasonRolledBack)
+	})
+	t.Run("do not count as acknowledged", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		s := only[caller.Send](l.c, l.ask(1, write))
+		replace(l)
+		as := l.reply(s, 21)
+		l.c.Assert(has[caller.Release](as), qt.IsFalse)
+		l.c.Assert(only[caller.Refuse](l.c, as).Refusal.Reason, qt.Equals, caller.ReasonUnknown)
+	})
+}
+
 func TestDeclinedInATransaction(t *testing.T) {
 	l := newLane(qt.New(t))
 	as := l.ask(1, begin)
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -198,6 +198,10 @@
 
 // startHeld sends the next request of an open transaction on the transaction's own connection.
 func (l *Lane) startHeld(now time.Duration, s Session, r Request) bool {
+	if l.kind.Replicated && r.Statement.Kind == KindCommit && s.Changed && l.leader() == "" {
+		l.refuse(r, Refusal{Reason: ReasonRolledBack, Retry: retryHint, Detail: "the primary is being replaced"})
+		return true
+	}
 	c, ok := l.conns.Get(s.Conn)
 	row, _ := l.servers.Get(c.Server)
 	if !ok || row.Free() <= 0 || c.Cancelling {
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -48,6 +48,11 @@
 		s = s.WithFloor(e.Position)
 	}
 	l.sessions.Put(s.ID, s)
+	if wrote && l.kind.Replicated && l.leader() == "" {
+		// A server that joined the group during a promotion may have received it, and is not asked for its log.
+		l.refuse(r, Refusal{Reason: ReasonUnknown, Detail: "committed while the primary was being replaced"})
+		return
+	}
 	if wrote && l.kind.Replicated && c.Server == l.view.Primary {
 		l.lead(r.Started)
 		l.releaseLed(now)
--- a/internal/upstream/appointed.go
+++ b/internal/upstream/appointed.go
@@ -43,7 +43,7 @@
 		},
 		Leases:  true,
 		Judge:   judgeAppointed,
-		Voters:  replicasOf,
+		Voters:  votersOf,
 		Fenced:  allFenced,
 		Prefer:  preferStaying,
 		Leads:   unpaused,
@@ -99,16 +99,26 @@
 	})
 }
 
-// allFenced needs the promise of every replica, and offers those that hold what the last promotion took over.
-func allFenced(e Evidence, ps []Promise, _ bool) []Promise {
+// votersOf lists every replica, and the primary too while it answers: a server that joins the group meanwhile is not paused and
+// would let it acknowledge again.
+func votersOf(e Evidence) []Server {
 	voters := replicasOf(e)
+	if p, ok := e.primary(); ok && p.Status.Role == RolePrimary && !p.owes() {
+		voters = append(voters, p)
+	}
+	return voters
+}
+
+// allFenced needs the promise of every voter, and offers those of replicas that hold what the last promotion took over.
+func allFenced(e Evidence, ps []Promise, _ bool) []Promise {
+	voters := votersOf(e)
 	for _, s := range voters {
 		if !slices.ContainsFunc(ps, func(p Promise) bool { return p.Server == s.Name }) {
 			return nil
 		}
 	}
 	return slices.DeleteFunc(slices.Clone(ps), func(p Promise) bool {
-		return !p.Position.Covers(e.Group.Floor) || !slices.ContainsFunc(voters, func(s Server) bool { return s.Name == p.Server })
+		return p.Server == e.Group.Primary || !p.Position.Covers(e.Group.Floor) || !slices.ContainsFunc(voters, func(s Server) bool { return s.Name == p.Server })
 	})
 }
 
--- a/internal/upstream/appointed_test.go
+++ b/internal/upstream/appointed_test.go
@@ -28,6 +28,9 @@
 	ordered   []upstream.OrderPromote
 	paused    []string
 	followed  []string
+	deposed   bool
+	// keepsBack is a server that does not answer a request for its promise.
+	keepsBack string
 	resumed   []string
 	view      upstream.GroupView
 	notes     []operator.Record
@@ -104,7 +107,11 @@
 			r.later(upstream.Probed{Server: a.Server, Sent: a.Sent, Status: r.status[a.Server]})
 		}
 	case upstream.AskPromise:
-		if st := r.status[a.Server]; !r.silent[a.Server] && !r.refuses[a.Server] {
+		if st := r.status[a.Server]; !r.silent[a.Server] && !r.refuses[a.Server] && r.keepsBack != a.Server {
+			if a.Depose {
+				st.Role = upstream.RoleReplica
+				r.deposed = true
+			}
 			if st.Role == upstream.RoleReplica {
 				st.Promised = a.Term
 			}
@@ -403,6 +410,30 @@
 	})
 }
 
+func TestPrimaryStepsDownBeforeTheOrder(t *testing.T) {
+	t.Run("if it answers", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.tell(r.entry("p", true))
+		r.run(time.Second)
+		assertOrdered(r, "a")
+		r.c.Assert(r.deposed, qt.IsTrue)
+	})
+	t.Run("and nobody is ordered while it keeps its answer back", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.keepsBack = "p"
+		r.tell(r.entry("p", true))
+		r.run(900 * time.Millisecond)
+		assertOrdered(r)
+	})
+	t.Run("its longer log does not make it the next one", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.tell(r.entry("p", true))
+		r.hold("p", at(1, 105))
+		r.run(time.Second)
+		assertOrdered(r, "a")
+	})
+}
+
 func TestDeposedPrimary(t *testing.T) {
 	r := newRig(qt.New(t))
 	r.silent["p"] = true
--- a/internal/upstream/messages.go
+++ b/internal/upstream/messages.go
@@ -127,8 +127,9 @@
 	Timeout time.Duration
 }
 
-// AskPromise asks a server to refuse all terms below Term, for this node alone.
+// AskPromise asks a server to refuse all terms below Term, for this node alone; Depose says that it has to step down first.
 type AskPromise struct {
+	Depose  bool
 	Group   string
 	Server  string
 	Address string
--- a/internal/upstream/promote.go
+++ b/internal/upstream/promote.go
@@ -102,6 +102,7 @@
 	for _, s := range w.kind.Voters(e) {
 		w.out = append(w.out, AskPromise{
 			Group: p.Group, Server: s.Name, Address: s.Address, Term: p.Term, Timeout: w.kind.Times.PromiseTimeout,
+			Depose: w.kind.Leases && s.Name == g.Primary,
 		})
 	}
 }
