--- a/internal/caller/appointed_test.go
+++ b/internal/caller/appointed_test.go
@@ -374,6 +374,17 @@
 	l.c.Assert(closed, qt.Equals, 2, qt.Commentf("one connection stays warm"))
 }
 
+func TestDrainingSendsAway(t *testing.T) {
+	l := newLane(qt.New(t))
+	v := l.view
+	v.Suspect = true
+	l.step(caller.Viewed{View: v})
+	l.ask(1, write)
+	r := only[caller.Refuse](l.c, l.step(caller.DrainBegun{}))
+	l.c.Assert(r.Refusal.Reason, qt.Equals, caller.ReasonDraining)
+	l.c.Assert(r.Refusal.NotRun(), qt.IsTrue)
+}
+
 func TestWaitingForAServer(t *testing.T) {
 	full := func(l *lane) {
 		for _, n := range []string{"p", "r0", "r1"} {
--- a/internal/caller/sessions.go
+++ b/internal/caller/sessions.go
@@ -255,9 +255,14 @@
 	}
 }
 
-// drain ends all sessions at their next boundary.
+// drain ends all sessions at their next boundary, and sends away what waits for a server: it has not run and can be asked elsewhere.
 func (l *Lane) drain() {
 	l.draining = true
+	for _, k := range l.requests.Keys() {
+		if r, _ := l.requests.Get(k); r.Phase == PhaseQueued && !r.Sent {
+			l.refuse(r, Refusal{Reason: ReasonDraining})
+		}
+	}
 	for _, k := range l.sessions.Keys() {
 		s, _ := l.sessions.Get(k)
 		s = s.WithClosing()
--- a/internal/fleet/drain.go
+++ b/internal/fleet/drain.go
@@ -5,14 +5,17 @@
 
 	"go.uber.org/zap"
 
+	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/peer"
 )
 
 const (
 	// drainSpread is the part of the grace over which idle sessions are closed, so that their callers do not all return at
-	// once; transactions have half of it to end.
+	// once; transactions go on until drainEnd.
 	drainSpread = 0.4
-	drainEnd    = 0.8
+	// drainRefuse is when requests that still wait for a server are sent away, drainEnd when the rest is cut off.
+	drainRefuse = 0.7
+	drainEnd    = 0.9
 	drainPoll   = 50 * time.Millisecond
 )
 
@@ -23,8 +26,17 @@
 	grace := time.Duration(n.grace.Load()) * time.Millisecond
 	begun := n.clock()
 	n.log.Info("drain", zap.Int("sessions", n.front.Open()), zap.Duration("grace", grace))
+	refuse := begun + time.Duration(drainRefuse*float64(grace))
 	spread := begun + time.Duration(drainSpread*float64(grace))
 	for n.ctx.Err() == nil && n.clock() < begun+time.Duration(drainEnd*float64(grace)) {
+		if refuse != 0 && n.clock() >= refuse {
+			refuse = 0
+			n.mu.Lock()
+			for _, l := range n.lanes {
+				l.Post(caller.DrainBegun{})
+			}
+			n.mu.Unlock()
+		}
 		ss := n.front.Sessions()
 		left := max(1, int((spread-n.clock())/drainPoll))
 		for _, s := range ss[:(len(ss)+left-1)/left] {
--- a/internal/upstream/appointed.go
+++ b/internal/upstream/appointed.go
@@ -118,7 +118,8 @@
 		}
 	}
 	return slices.DeleteFunc(slices.Clone(ps), func(p Promise) bool {
-		return p.Server == e.Group.Primary || !p.Position.Covers(e.Group.Floor) || !slices.ContainsFunc(voters, func(s Server) bool { return s.Name == p.Server })
+		voter := slices.ContainsFunc(voters, func(s Server) bool { return s.Name == p.Server })
+		return p.Server == e.Group.Primary || !p.Position.Covers(e.Group.Floor) || !voter
 	})
 }
 
--- a/internal/upstream/appointed_test.go
+++ b/internal/upstream/appointed_test.go
@@ -434,6 +434,20 @@
 	})
 }
 
+func TestEmptyLogs(t *testing.T) {
+	r := newRig(qt.New(t))
+	for n := range r.status {
+		r.hold(n, session.Position{})
+	}
+	r.run(10 * time.Second)
+	assertOrdered(r)
+	r.refuses["p"] = true
+	r.run(2 * time.Second)
+	r.appoint("a")
+	r.run(10 * time.Second)
+	assertOrdered(r, "a")
+}
+
 func TestDeposedPrimary(t *testing.T) {
 	r := newRig(qt.New(t))
 	r.silent["p"] = true
--- a/internal/upstream/promote.go
+++ b/internal/upstream/promote.go
@@ -35,7 +35,7 @@
 		}
 		p = Promotion{Group: g.Name, Timeline: Timeline{Missed: missed, Detected: now}}
 		w.schedule(p.WithStage(StageBackoff, now+time.Duration(w.rank(g.Name))*w.kind.Times.RankDelay))
-	case !g.Suspect && running && (p.Stage == StageBackoff || w.kind.Leases && p.Stage != StageOpening):
+	case !g.Suspect && running && (p.Stage == StageBackoff || w.kind.Leases && p.Stage != StageOpening && !p.Deposes):
 		w.abandon(now, g, p)
 	}
 }
@@ -97,9 +97,11 @@
 		p.Term = max(p.Term, s.Status.Promised, s.Status.Term)
 	}
 	p.Term++
+	voters := w.kind.Voters(e)
+	p.Deposes = w.kind.Leases && slices.ContainsFunc(voters, func(s Server) bool { return s.Name == g.Primary })
 	w.schedule(p.WithStage(StagePromising, now+w.kind.Times.PromiseTimeout))
 	w.out = append(w.out, Intend{Group: p.Group, Term: p.Term})
-	for _, s := range w.kind.Voters(e) {
+	for _, s := range voters {
 		w.out = append(w.out, AskPromise{
 			Group: p.Group, Server: s.Name, Address: s.Address, Term: p.Term, Timeout: w.kind.Times.PromiseTimeout,
 			Depose: w.kind.Leases && s.Name == g.Primary,
--- a/internal/upstream/rows.go
+++ b/internal/upstream/rows.go
@@ -330,6 +330,8 @@
 	Timeline Timeline
 	Tries    int
 	Lease    Lease
+	// Deposes says that the old primary was asked to step down, so that there is no way back.
+	Deposes bool
 }
 
 // Promise is one server's word that it refuses terms below the promotion's.
