--- a/internal/caller/sessions.go
+++ b/internal/caller/sessions.go
@@ -255,7 +255,8 @@
 	}
 }
 
-// drain ends all sessions at their next boundary, and sends away what waits for a server: it has not run and can be asked elsewhere.
+// drain ends all sessions at their next boundary, and sends away what waits for a server: it has not run and can be asked
+// elsewhere.
 func (l *Lane) drain() {
 	l.draining = true
 	for _, k := range l.requests.Keys() {
--- a/internal/upstream/appointed_test.go
+++ b/internal/upstream/appointed_test.go
@@ -443,7 +443,7 @@
 	assertOrdered(r)
 	r.refuses["p"] = true
 	r.run(2 * time.Second)
-	r.appoint("a")
+	r.appoint(r.ordered[0].Server)
 	r.run(10 * time.Second)
 	assertOrdered(r, "a")
 }
