Metrics of both front ends as text: bytes by distance, stages of promotions, waits, service times, age of evidence

Before: /metrics at one of two front ends, answer times alone. After: one package writes both; TestMetrics of each scrapes them.

--- a/cmd/buckthornport/demo_lines.go
+++ b/cmd/buckthornport/demo_lines.go
@@ -14,6 +14,7 @@
 	"buckthornport.example/buckthornport/internal/fleet"
 	"buckthornport.example/buckthornport/internal/settings"
 	"buckthornport.example/buckthornport/internal/standin/metadata"
+	"buckthornport.example/buckthornport/pkg/bundle"
 )
 
 // demoConfig routes three databases to the demo's only group.
@@ -67,7 +68,7 @@
 func (c demoCommand) linesNode(i int, name string, log *zap.Logger) (*fleet.Node, error) {
 	s := settings.Fleet{
 		Node: name, Zone: "nairobi-a", Store: c.Platform, Orders: c.Platform, GraceMS: demoDrainMS, LogLevel: c.LogLevel,
-		Zones: []settings.Zone{
+		Zones: []bundle.Zone{
 			{Name: "nairobi-a", Region: "nairobi"}, {Name: "nairobi-b", Region: "nairobi"}, {Name: "mombasa", Region: "mombasa"},
 		},
 	}
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/table"
 	"buckthornport.example/buckthornport/internal/upstream"
@@ -86,8 +87,12 @@
 	Violations     uint64 `json:"violations"`
 	LostWork       uint64 `json:"lost_work"`
 	SessionsOpened uint64 `json:"sessions_opened"`
-	// Latency counts answers by kind of class.
-	Latency [classKinds]Latency `json:"latency"`
+	// Latency is from a request's arrival to its answer, Waits to its first sending, Service from its last sending to its answer.
+	Latency [classKinds]metrics.Histogram `json:"latency"`
+	Waits   [classKinds]metrics.Histogram `json:"waits"`
+	Service [classKinds]metrics.Histogram `json:"service"`
+	// EvidenceAge is how old the newest evidence that the primary leads was whenever a request was sent.
+	EvidenceAge metrics.Histogram `json:"evidence_age"`
 }
 
 // Option sets up a Lane.
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -136,7 +136,7 @@
 // answer ends a request whose answer needs no evidence any more; a held one is let go.
 func (l *Lane) answer(now time.Duration, s Session, r Request, e Replied) {
 	l.checkRead(s, r, e)
-	l.stats.count(r, now)
+	l.stats.countAnswer(now, r)
 	if r.Traced {
 		l.tell(now, r, CauseAnswered, operator.Evidence{Name: "position", Value: e.Position.String()},
 			operator.Evidence{Name: "failed", Value: strconv.FormatBool(e.Failed)})
--- a/internal/caller/stats.go
+++ b/internal/caller/stats.go
@@ -2,9 +2,6 @@
 
 import "time"
 
-// Bounds are the upper ends of the latency buckets in ms; a last bucket holds what took longer.
-var Bounds = [...]int{5, 10, 25, 50, 100, 200, 400, 800, 1600, 3200}
-
 // ClassKind says what the reads of a class accept, in place of class names, whose number grows with the routes.
 type ClassKind uint8
 
@@ -32,22 +29,17 @@
 	}
 }
 
-// Latency counts the answers of one kind of class by how long they took from the request's arrival.
-type Latency struct {
-	Buckets [len(Bounds) + 1]uint64 `json:"buckets"`
-	Sum     time.Duration           `json:"sum_ns"`
-	Count   uint64                  `json:"count"`
+// countSent takes note of a request that is about to be sent; led is the moment that the newest evidence of leadership is about.
+func (s *Stats) countSent(now time.Duration, r Request, led time.Duration) {
+	if k := classKind(r); r.Attempts == 0 {
+		s.Waits[k] = s.Waits[k].WithSample(now - r.Arrived)
+	}
+	s.EvidenceAge = s.EvidenceAge.WithSample(now - led)
 }
 
-// count takes note of an answer.
-func (s *Stats) count(r Request, now time.Duration) {
-	l := &s.Latency[classKind(r)]
-	d := now - r.Arrived
-	i := 0
-	for i < len(Bounds) && d > time.Duration(Bounds[i])*time.Millisecond {
-		i++
-	}
-	l.Buckets[i]++
-	l.Sum += d
-	l.Count++
+// countAnswer takes note of an answer.
+func (s *Stats) countAnswer(now time.Duration, r Request) {
+	k := classKind(r)
+	s.Latency[k] = s.Latency[k].WithSample(now - r.Arrived)
+	s.Service[k] = s.Service[k].WithSample(now - r.Started)
 }
--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -22,7 +22,8 @@
 
 func (n *Node) makeLink() error {
 	var err error
-	n.link, err = peerlink.New(func(m peer.Message) { n.thread.Post(peer.Received{Message: m}) })
+	n.link, err = peerlink.New(func(m peer.Message) { n.thread.Post(peer.Received{Message: m}) },
+		peerlink.WithCounted(func(zone string, bytes int) { n.peerBytes.Sent(n.settings.Distance(zone), bytes) }))
 	return err
 }
 
@@ -79,7 +80,7 @@
 	t.ReadLease = n.readLease
 	t.TakeLease = n.takeLease
 	t.FreeLease = n.freeLease
-	t.Send = func(a peer.Send) { n.link.Send(a.Address, a.Message) }
+	t.Send = n.link.Send
 	// Logs are the audit trail here, and leases the only thing that is left in the store.
 	t.Put = func(context.Context, listing.PutRecords) error { return nil }
 	t.Intend = func(upstream.Intend) {}
@@ -185,7 +186,7 @@
 	l.Heard = func(a caller.Heard) { n.thread.Post(upstream.Heard{Server: a.Server, At: a.At}) }
 	l.Doubted = func(a caller.Doubted) { n.thread.Post(upstream.Doubted{Server: a.Server, Stalled: a.Stalled}) }
 	l.Dial = func(ctx context.Context, a caller.Open, post func(caller.Event)) (traffic.Upstream, error) {
-		u, err := platform.DialUpstream(ctx, n.front, group, n.settings.Node, a, post)
+		u, err := n.servers.DialUpstream(ctx, n.front, group, a, post)
 		if err != nil {
 			n.depend(a.Server, "connection_refused", err)
 		}
--- a/internal/fleet/log.go
+++ b/internal/fleet/log.go
@@ -14,6 +14,7 @@
 	if r.Node == "" {
 		r = r.WithOrigin(n.settings.Node, now, n.wall(now))
 	}
+	n.failovers.Count(r)
 	if n.limiter.Admit(now, r) {
 		n.log.Info("audit", zap.Any("record", r))
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"buckthornport.example/buckthornport/internal/control"
+	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/peerlink"
 	"buckthornport.example/buckthornport/internal/settings"
@@ -50,6 +51,9 @@
 	ctx        context.Context
 	stop       context.CancelFunc
 
+	serverBytes, peerBytes metrics.Bytes
+	failovers              *operator.Failovers
+
 	mu      sync.Mutex
 	lanes   map[string]*traffic.Lane
 	members []string
@@ -60,6 +64,7 @@
 // server is what the platform's list says of a server, as far as shares depend on it.
 type server struct {
 	group string
+	zone  string
 	slots int
 }
 
@@ -101,7 +106,8 @@
 func New(ctx context.Context, s settings.Fleet, opts ...Option) (*Node, error) {
 	n := &Node{
 		settings: s, log: zap.NewNop(), level: zap.NewAtomicLevel(), logDropped: func() uint64 { return 0 },
-		limiter: operator.NewLimiter(), clock: tick.NewClock(), start: time.Now(), members: []string{s.Peer},
+		limiter: operator.NewLimiter(), failovers: operator.NewFailovers(),
+		clock: tick.NewClock(), start: time.Now(), members: []string{s.Peer},
 		lanes: map[string]*traffic.Lane{}, slots: map[string]server{}, views: map[string]upstream.GroupView{},
 	}
 	for _, o := range opts {
@@ -114,6 +120,9 @@
 	n.grace.Store(int64(s.GraceMS))
 	n.store = platform.NewStore(s.Store)
 	n.servers = platform.NewControl(s.Node)
+	n.servers.Wrap = func(server string, conn net.Conn) net.Conn {
+		return n.serverBytes.Conn(conn, s.Distance(n.zoneOf(server)))
+	}
 	n.orders = platform.NewOrders(s.Orders, s.Node, n.mayOrder)
 	n.front = platform.NewFront(n.route)
 	n.front.Known = func() bool { return n.routes.Load().bundle.Version != 0 }
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -71,7 +71,7 @@
 	if c.Gone {
 		delete(n.slots, c.Entry.ID)
 	} else {
-		n.slots[c.Entry.ID] = server{group: c.Entry.Service, slots: c.Entry.Slots}
+		n.slots[c.Entry.ID] = server{group: c.Entry.Service, zone: c.Entry.Zone, slots: c.Entry.Slots}
 	}
 	n.mu.Unlock()
 	if c.Gone {
@@ -80,6 +80,13 @@
 	n.limitAll()
 }
 
+// zoneOf returns the zone of a server that is listed, or "".
+func (n *Node) zoneOf(server string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.slots[server].zone
+}
+
 // limitAll gives each lane this node's share of each server's slots and connections.
 func (n *Node) limitAll() {
 	b := n.routes.Load().bundle
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -4,13 +4,12 @@
 	"encoding/json"
 	"errors"
 	"expvar"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"slices"
 
-	"buckthornport.example/buckthornport/internal/caller"
+	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/internal/traffic"
 )
 
@@ -66,8 +65,8 @@
 func (n *Node) serveStatus(l net.Listener) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-		writeMetrics(w, n.Status())
+		w.Header().Set("Content-Type", metrics.ContentType)
+		n.writeMetrics(w)
 	})
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.Status()) })
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
@@ -89,72 +88,28 @@
 }
 
 // writeMetrics writes counters, gauges and histograms in the text form that common scrapers read.
-func writeMetrics(w io.Writer, s Status) {
-	line := func(name, labels string, value any) {
-		_, _ = fmt.Fprintf(w, "buckthornport_%s{node=%q%s} %v\n", name, s.Node, labels, value)
-	}
+func (n *Node) writeMetrics(w io.Writer) {
+	s := n.Status()
+	t := metrics.NewText(w, s.Node)
 	ready := 0
 	if s.Ready {
 		ready = 1
 	}
-	line("ready", "", ready)
-	line("config_version", "", s.ConfigVersion)
-	line("sessions", "", s.Sessions)
-	line("connections_accepted_total", "", s.Accepted)
-	line("connections_rejected_total", "", s.Rejected)
-	line("members", "", len(s.Members))
-	line("peer_bytes_total", "", s.PeerBytes)
-	line("peer_messages_dropped_total", "", s.PeerDropped)
-	line("store_calls_total", "", s.StoreCalls)
-	line("store_calls_failed_total", "", s.StoreFailed)
-	line("log_records_left_out_total", "", s.LogLeftOut)
-	line("log_lines_dropped_total", "", s.LogDropped)
+	t.Line("ready", ready)
+	t.Line("config_version", s.ConfigVersion)
+	t.Line("sessions", s.Sessions)
+	t.Line("connections_accepted_total", s.Accepted)
+	t.Line("connections_rejected_total", s.Rejected)
+	t.Line("members", len(s.Members))
+	t.Line("peer_messages_dropped_total", s.PeerDropped)
+	t.Line("store_calls_total", s.StoreCalls)
+	t.Line("store_calls_failed_total", s.StoreFailed)
+	t.Line("log_records_left_out_total", s.LogLeftOut)
+	t.Line("log_lines_dropped_total", s.LogDropped)
+	t.Bytes("server", &n.serverBytes)
+	t.BytesSent("node", &n.peerBytes)
+	n.failovers.Write(t)
 	for _, l := range s.Lanes {
-		writeLane(line, l)
-	}
-}
-
-func writeLane(line func(name, labels string, value any), l traffic.Snapshot) {
-	group := fmt.Sprintf(",group=%q", l.Database)
-	for _, k := range []struct {
-		outcome string
-		value   uint64
-	}{
-		{"asked", l.Stats.Requests},
-		{"refused", l.Stats.Refused},
-		{"unknown", l.Stats.Unknown},
-		{"sent_again", l.Stats.Retried},
-		{"declined", l.Stats.Declined},
-		{"stray", l.Stats.StrayMessages},
-		{"violation", l.Stats.Violations},
-	} {
-		line("requests_total", group+fmt.Sprintf(",outcome=%q", k.outcome), k.value)
-	}
-	line("reads_total", group, l.Stats.Reads)
-	line("reads_eligible_for_replicas_total", group, l.Stats.EligibleReads)
-	line("reads_by_replicas_total", group, l.Stats.ReplicaReads)
-	line("evidence_questions_total", group, l.Stats.Proofs)
-	line("requests_in_flight", group, l.Requests)
-	for k, h := range l.Stats.Latency {
-		writeLatency(line, group+fmt.Sprintf(",class=%q", caller.ClassKind(k)), h)
-	}
-	for _, v := range l.Servers {
-		server := group + fmt.Sprintf(",server=%q,role=%q", v.Name, v.Role)
-		line("server_running", server, v.Running)
-		line("server_slots", server, v.Slots)
-		line("server_connections", server, v.Open)
-		line("server_connections_limit", server, v.Conns)
-		line("server_term", server, v.Term)
-	}
-}
-
-func writeLatency(line func(name, labels string, value any), labels string, h caller.Latency) {
-	sum := uint64(0)
-	for i, b := range caller.Bounds {
-		sum += h.Buckets[i]
-		line("answer_seconds_bucket", labels+fmt.Sprintf(",le=%q", fmt.Sprint(float64(b)/1000)), sum)
+		l.WriteMetrics(t)
 	}
-	line("answer_seconds_bucket", labels+`,le="+Inf"`, h.Count)
-	line("answer_seconds_sum", labels, h.Sum.Seconds())
-	line("answer_seconds_count", labels, h.Count)
 }
--- a/internal/fleet/whole_test.go
+++ b/internal/fleet/whole_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -20,6 +21,7 @@
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/settings"
 	"buckthornport.example/buckthornport/internal/standin/metadata"
+	"buckthornport.example/buckthornport/pkg/bundle"
 )
 
 const config = `{"Version":%d,"Routes":[
@@ -82,7 +84,7 @@
 
 func (d *deployment) start(c *qt.C, name, address string) {
 	s := settings.Fleet{
-		Node: name, Zone: "a", Zones: []settings.Zone{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}, {Name: "m", Region: "q"}},
+		Node: name, Zone: "a", Zones: bundle.Zones{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}, {Name: "m", Region: "q"}},
 		Listen: freeAddress(c), Ready: freeAddress(c), Peer: freeAddress(c), Store: address, Orders: address,
 		GraceMS: 2000, LogLevel: "info",
 	}
@@ -122,6 +124,19 @@
 	hello string
 }
 
+// assertScraped waits until a node's metrics have lines of those forms.
+func assertScraped(c *qt.C, n *Node, lines ...string) {
+	c.Helper()
+	for _, line := range lines {
+		form := regexp.MustCompile("(?m)^buckthornport_" + strings.NewReplacer("{", `\{`, "}", `\}`).Replace(line) + "$")
+		waitUntil(c, line, func() bool {
+			var b bytes.Buffer
+			n.writeMetrics(&b)
+			return form.Match(b.Bytes())
+		})
+	}
+}
+
 func connect(c *qt.C, n *Node, database string) *session {
 	conn, err := net.Dial("tcp", n.settings.Listen)
 	c.Assert(err, qt.IsNil)
@@ -468,16 +483,28 @@
 
 // TestMetrics serves counters as text.
 func TestMetrics(t *testing.T) {
-	c := qt.New(t)
-	d := startDeployment(c, 1)
-	assertAnswers(connect(c, d.nodes[0], "ledger"), "WRITE a 1", nil, "I")
-	var text string
-	waitUntil(c, "the answer is counted", func() bool {
-		var b bytes.Buffer
-		writeMetrics(&b, d.nodes[0].Status())
-		text = b.String()
-		return strings.Contains(text, `answer_seconds_count{node="node-1",group="books",class="fresh"} 1`)
+	t.Run("answers are counted", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 1)
+		assertAnswers(connect(c, d.nodes[0], "ledger"), "WRITE a 1", nil, "I")
+		assertScraped(c, d.nodes[0],
+			`answer_seconds_count{node="node-1",group="books",class="fresh"} 1`,
+			`requests_total{node="node-1",group="books",outcome="refused"} 0`,
+			`ready{node="node-1"} 1`)
+	})
+	t.Run("a change of primary is counted", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 1)
+		s := connect(c, d.nodes[0], "ledger")
+		assertAnswers(s, "WRITE a 1", nil, "I")
+		d.platform.Set("books", 0, metadata.Down(true))
+		waitUntil(c, "the next primary is known", func() bool { return d.nodes[0].view("books").Term == 2 })
+		assertAnswers(connect(c, d.nodes[0], "ledger"), "WRITE a 2", nil, "I")
+		assertScraped(c, d.nodes[0],
+			`failover_events_total{node="node-1",kind="promotion",cause="ordered"} 1`,
+			`promotion_stage_seconds_count{node="node-1",stage="open"} 1`,
+			`bytes_total{node="node-1",peer="server",distance="same_region",direction="sent"} [1-9]\d*`,
+			`bytes_total{node="node-1",peer="server",distance="other_region",direction="received"} [1-9]\d*`,
+			`queue_wait_seconds_count{node="node-1",group="books",class="fresh"} [1-9]\d*`)
 	})
-	c.Assert(text, qt.Contains, `buckthornport_requests_total{node="node-1",group="books",outcome="refused"} 0`)
-	c.Assert(text, qt.Contains, `buckthornport_ready{node="node-1"} 1`)
 }
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -82,8 +82,8 @@
 			strings.TrimPrefix(r.Cause, "abandoned_"))
 	}
 	return fmt.Sprintf("%s was promoted to lead %s in term %d in place of %s (%s): detection %s, fence %s, wait %s, open %s.",
-		r.Server, r.Group, r.Term, r.value("replaced"), r.Cause, r.value("detection"), r.value("fence"), r.value("wait"),
-		r.value("open"))
+		r.Server, r.Group, r.Term, r.value("replaced"), r.Cause, r.value(StageDetection), r.value(StageFence), r.value(StageWait),
+		r.value(StageOpen))
 }
 
 func (r Record) value(name string) string {
--- a/internal/peer/rows.go
+++ b/internal/peer/rows.go
@@ -172,6 +172,7 @@
 // Send sends a message to a peer; it may get lost.
 type Send struct {
 	To      string
+	Zone    string
 	Address string
 	Message Message
 }
--- a/internal/peer/spread.go
+++ b/internal/peer/spread.go
@@ -47,7 +47,7 @@
 	if r.State != StateAlive {
 		g.Updates = append(g.Updates, r.update())
 	}
-	m.out = append(m.out, Send{To: to, Address: r.Address, Message: g})
+	m.out = append(m.out, Send{To: to, Zone: r.Zone, Address: r.Address, Message: g})
 }
 
 // ping asks the next member in turn for a sign of life, once per interval.
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -29,6 +29,7 @@
 type Link struct {
 	receive func(m peer.Message)
 	tls     func() *tls.Config
+	counted func(zone string, bytes int)
 	mu      sync.Mutex
 	lines   map[string]*line
 	inbound map[net.Conn]bool
@@ -48,11 +49,19 @@
 	}
 }
 
+// WithCounted has the bytes of each message told to f, with the zone of the peer that they went to.
+func WithCounted(f func(zone string, bytes int)) Option {
+	return func(l *Link) error {
+		l.counted = f
+		return nil
+	}
+}
+
 // New returns a link that hands incoming messages to receive.
 func New(receive func(m peer.Message), opts ...Option) (*Link, error) {
 	l := &Link{
 		receive: receive, lines: map[string]*line{}, inbound: map[net.Conn]bool{},
-		tls: func() *tls.Config { return nil },
+		tls: func() *tls.Config { return nil }, counted: func(string, int) {},
 	}
 	for _, o := range opts {
 		if err := o(l); err != nil {
@@ -132,19 +141,19 @@
 }
 
 // Send queues a message; it never blocks.
-func (l *Link) Send(address string, m peer.Message) {
+func (l *Link) Send(a peer.Send) {
 	l.mu.Lock()
-	n, ok := l.lines[address]
+	n, ok := l.lines[a.Address]
 	if !ok && !l.closed {
-		n = newLine(l, address)
-		l.lines[address] = n
+		n = newLine(l, a.Address)
+		l.lines[a.Address] = n
 	}
 	l.mu.Unlock()
 	if n == nil {
 		return
 	}
 	select {
-	case n.queue <- m:
+	case n.queue <- a:
 	default:
 		l.dropped.Add(1)
 	}
@@ -167,13 +176,13 @@
 type line struct {
 	link    *Link
 	address string
-	queue   chan peer.Message
+	queue   chan peer.Send
 	ctx     context.Context
 	stop    context.CancelFunc
 }
 
 func newLine(l *Link, address string) *line {
-	n := &line{link: l, address: address, queue: make(chan peer.Message, queueLength)}
+	n := &line{link: l, address: address, queue: make(chan peer.Send, queueLength)}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	go n.run()
 	return n
@@ -192,7 +201,7 @@
 		select {
 		case <-n.ctx.Done():
 			return
-		case m := <-n.queue:
+		case a := <-n.queue:
 			var err error
 			if stream == nil {
 				if stream, closeAll, err = n.dial(); err != nil {
@@ -201,7 +210,7 @@
 					continue
 				}
 			}
-			if err := n.write(stream, m); err != nil {
+			if err := n.write(stream, a); err != nil {
 				closeAll()
 				stream, closeAll = nil, nil
 				n.link.dropped.Add(1)
@@ -210,12 +219,13 @@
 	}
 }
 
-func (n *line) write(stream net.Conn, m peer.Message) error {
+func (n *line) write(stream net.Conn, a peer.Send) error {
 	if err := stream.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	k, err := protodelim.MarshalTo(stream, encode(m))
+	k, err := protodelim.MarshalTo(stream, encode(a.Message))
 	n.link.sent.Add(int64(k))
+	n.link.counted(a.Zone, k)
 	return err
 }
 
--- a/internal/peerlink/link_test.go
+++ b/internal/peerlink/link_test.go
@@ -91,7 +91,7 @@
 		c := qt.New(t)
 		address, _, got := listen(c, nil)
 		_, from, _ := listen(c, nil)
-		from.Send(address, news)
+		from.Send(peer.Send{Address: address, Message: news})
 		c.Assert(<-got, qt.DeepEquals, news)
 	})
 	t.Run("nodes of one authority understand each other", func(t *testing.T) {
@@ -99,7 +99,7 @@
 		a := newAuthority(c)
 		address, _, got := listen(c, a.config(c, a))
 		_, from, _ := listen(c, a.config(c, a))
-		from.Send(address, news)
+		from.Send(peer.Send{Address: address, Message: news})
 		c.Assert(<-got, qt.DeepEquals, news)
 	})
 	t.Run("a node of another authority is not heard", func(t *testing.T) {
@@ -107,11 +107,11 @@
 		a, b := newAuthority(c), newAuthority(c)
 		address, _, got := listen(c, a.config(c, a))
 		_, stranger, _ := listen(c, b.config(c, a))
-		stranger.Send(address, news)
+		stranger.Send(peer.Send{Address: address, Message: news})
 		_, friend, _ := listen(c, a.config(c, a))
 		last := news
 		last.Seq = 8
-		friend.Send(address, last)
+		friend.Send(peer.Send{Address: address, Message: last})
 		c.Assert((<-got).Seq, qt.Equals, uint64(8))
 	})
 	t.Run("garbage closes its own connection only", func(t *testing.T) {
@@ -124,7 +124,7 @@
 		_, err = conn.Read(make([]byte, 1))
 		c.Assert(err, qt.IsNotNil)
 		_, from, _ := listen(c, nil)
-		from.Send(address, news)
+		from.Send(peer.Send{Address: address, Message: news})
 		c.Assert(<-got, qt.DeepEquals, news)
 	})
 }
--- a/internal/proxy/assemble.go
+++ b/internal/proxy/assemble.go
@@ -26,7 +26,8 @@
 func (n *Node) makeLink() error {
 	var err error
 	n.link, err = peerlink.New(func(m peer.Message) { n.thread.Post(peer.Received{Message: m}) },
-		peerlink.WithTLS(n.peerTLS))
+		peerlink.WithTLS(n.peerTLS),
+		peerlink.WithCounted(func(zone string, bytes int) { n.peerBytes.Sent(n.distance(zone), bytes) }))
 	return err
 }
 
@@ -74,7 +75,7 @@
 	t.Promote = n.orders.Promote
 	t.Follow = n.orders.Follow
 	t.Refused = traffic.Refused
-	t.Send = func(a peer.Send) { n.link.Send(a.Address, a.Message) }
+	t.Send = n.link.Send
 	t.Put = n.putRecords
 	t.Intend = n.intend
 	t.Announce = n.announce
@@ -147,6 +148,14 @@
 		if err != nil {
 			return traffic.Upstream{}, err
 		}
+		dial, distance := cfg.DialFunc, n.distance(n.zoneOf(a.Server))
+		cfg.DialFunc = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return n.serverBytes.Conn(conn, distance), nil
+		}
 		u, err := pgwire.DialUpstream(ctx, a.Conn, cfg, post)
 		if err != nil {
 			return traffic.Upstream{}, err
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -17,6 +17,7 @@
 
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/control"
+	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/peerlink"
@@ -53,6 +54,9 @@
 	stop     context.CancelFunc
 	ready    chan struct{}
 
+	serverBytes, peerBytes metrics.Bytes
+	failovers              *operator.Failovers
+
 	// opening keeps two first callers of a database from opening two lanes.
 	opening sync.Mutex
 
@@ -77,7 +81,7 @@
 // New returns a node that does not serve yet; it works under b until it learns of a newer bundle.
 func New(ctx context.Context, s settings.Proxy, b bundle.Bundle, opts ...Option) (*Node, error) {
 	n := &Node{
-		settings: s, log: zap.NewNop(), limiter: operator.NewLimiter(),
+		settings: s, log: zap.NewNop(), limiter: operator.NewLimiter(), failovers: operator.NewFailovers(),
 		clock: tick.NewClock(), start: time.Now(), members: []string{s.Node},
 		lanes: map[string]*traffic.Lane{}, ready: make(chan struct{}),
 	}
@@ -194,6 +198,7 @@
 
 // keep shows a record of the audit trail in the log and on the status page.
 func (n *Node) keep(r operator.Record) {
+	n.failovers.Count(r)
 	n.mu.Lock()
 	n.records = append(n.records, r)
 	if len(n.records) > recordsKept {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -16,6 +18,7 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/pkg/bundle"
 )
 
@@ -297,3 +300,20 @@
 	})
 	assertNoViolation(c, d)
 }
+
+// TestMetrics reads a proxy's counters as a scraper would.
+func TestMetrics(t *testing.T) {
+	c := qt.New(t)
+	d := deploy(c, unchanged)
+	exec(c, d.connect(c, 0, ""), "create table tickets (id integer primary key, what text)")
+	form := regexp.MustCompile(`(?m)^buckthornport_bytes_total\{node="n0",peer="server",distance="same_zone",direction="sent"\} [1-9]`)
+	for text := ""; !form.MatchString(text); time.Sleep(10 * time.Millisecond) {
+		r, err := http.Get("http://" + d.status[0] + "/metrics")
+		c.Assert(err, qt.IsNil)
+		b, err := io.ReadAll(r.Body)
+		c.Assert(err, qt.IsNil)
+		c.Assert(r.Body.Close(), qt.IsNil)
+		c.Assert(r.Header.Get("Content-Type"), qt.Equals, metrics.ContentType)
+		text = string(b)
+	}
+}
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -5,11 +5,13 @@
 	"encoding/json"
 	"errors"
 	"expvar"
+	"io"
 	"net"
 	"net/http"
 	"slices"
 	"time"
 
+	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/traffic"
 )
@@ -66,6 +68,10 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.Status()) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", metrics.ContentType)
+		n.writeMetrics(w)
+	})
 	mux.HandleFunc("GET /audit", func(w http.ResponseWriter, _ *http.Request) { writeRecords(w, n.Records()) })
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.vars()) })
 	srv := &http.Server{Handler: mux, ReadTimeout: statusReadTimeout, MaxHeaderBytes: maxHeaderBytes}
@@ -85,6 +91,42 @@
 	return all
 }
 
+// zoneOf returns the zone of a server of the bundle in force, or "".
+func (n *Node) zoneOf(server string) string {
+	for _, g := range n.Bundle().Groups {
+		for _, s := range g.Servers {
+			if s.Name == server {
+				return s.Zone
+			}
+		}
+	}
+	return ""
+}
+
+// distance is how far a zone is from the node's own.
+func (n *Node) distance(zone string) metrics.Distance {
+	b := n.Bundle()
+	return metrics.Between(n.settings.Zone, b.Zones.Region(n.settings.Zone), zone, b.Zones.Region(zone))
+}
+
+// writeMetrics writes counters, gauges and histograms in the text form that common scrapers read.
+func (n *Node) writeMetrics(w io.Writer) {
+	s := n.Status()
+	t := metrics.NewText(w, s.Node)
+	t.Line("config_version", s.BundleVersion)
+	t.Line("sessions", s.Callers)
+	t.Line("connections_accepted_total", s.Accepted)
+	t.Line("connections_rejected_total", s.Rejected)
+	t.Line("members", len(s.Members))
+	t.Line("peer_messages_dropped_total", s.PeerDropped)
+	t.Bytes("server", &n.serverBytes)
+	t.BytesSent("node", &n.peerBytes)
+	n.failovers.Write(t)
+	for _, l := range s.Lanes {
+		l.WriteMetrics(t)
+	}
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -5,14 +5,16 @@
 	"net/netip"
 
 	"buckthornport.example/buckthornport/internal/jsonc"
+	"buckthornport.example/buckthornport/internal/metrics"
+	"buckthornport.example/buckthornport/pkg/bundle"
 )
 
 // Fleet is what a proxy on the users' platform needs to know before it can ask anyone else.
 type Fleet struct {
-	Node   string `json:"node"`
-	Zone   string `json:"zone"`
-	Zones  []Zone `json:"zones"`
-	Listen string `json:"listen"`
+	Node   string       `json:"node"`
+	Zone   string       `json:"zone"`
+	Zones  bundle.Zones `json:"zones"`
+	Listen string       `json:"listen"`
 	// Ready is where the platform asks whether the node takes new connections, Peer where other nodes reach it.
 	Ready  string   `json:"ready"`
 	Peer   string   `json:"peer"`
@@ -25,12 +27,6 @@
 	LogLevel string `json:"log_level"`
 }
 
-// Zone is an availability zone and its region.
-type Zone struct {
-	Name   string `json:"name"`
-	Region string `json:"region"`
-}
-
 // DefaultGraceMS is how long a node on the platform has from SIGTERM to its end.
 const DefaultGraceMS = 6000
 
@@ -68,24 +64,12 @@
 	}
 }
 
-// Region returns the region of a zone, or "" for a zone that is not listed.
-func (f Fleet) Region(zone string) string {
-	for _, z := range f.Zones {
-		if z.Name == zone {
-			return z.Region
-		}
-	}
-	return ""
+// Distance is how far a zone is from the node's own.
+func (f Fleet) Distance(zone string) metrics.Distance {
+	return metrics.Between(f.Zone, f.Zones.Region(f.Zone), zone, f.Zones.Region(zone))
 }
 
-// Nearness is how far a zone is: zero for the node's own, one for its region, two for others.
+// Nearness is the distance to a zone as a number: zero for the node's own, one for its region, two for others.
 func (f Fleet) Nearness(zone string) int {
-	switch {
-	case zone == f.Zone:
-		return 0
-	case f.Region(zone) == f.Region(f.Zone):
-		return 1
-	default:
-		return 2
-	}
+	return int(f.Distance(zone))
 }
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -21,7 +21,7 @@
 type Bundle struct {
 	Deployment       string   `json:"deployment"`
 	Version          uint64   `json:"version"`
-	Zones            []Zone   `json:"zones"`
+	Zones            Zones    `json:"zones"`
 	Groups           []Group  `json:"groups"`
 	Callers          []Caller `json:"callers"`
 	Keys             []Key    `json:"keys"`
@@ -45,6 +45,19 @@
 	Region string `json:"region"`
 }
 
+// Zones lists the availability zones of a deployment.
+type Zones []Zone
+
+// Region returns the region of a zone, or "" for a zone that is not listed.
+func (zs Zones) Region(zone string) string {
+	for _, z := range zs {
+		if z.Name == zone {
+			return z.Region
+		}
+	}
+	return ""
+}
+
 // Group is a database group; Connections counts over all proxies together.
 type Group struct {
 	Name           string   `json:"name"`
