Promotions: pauses above the new term end with the promotion, and leases alone hold promoters apart

Its successor waited 2.5 s for the dead node's pause, which leases make needless, and then paused at term 3 for a promotion to term 2; the platform ends pauses up to the new term only, so the other replica stayed deaf until the pause counted as left over, 2.7 s later, and no commit was acknowledged. Ruled out: the order of the killed node taking effect late (it was taken back); a slow store.

--- a/internal/standin/metadata/group.go
+++ b/internal/standin/metadata/group.go
@@ -240,7 +240,9 @@
 	}
 	g.term++
 	for _, o := range g.servers {
-		o.held = 0
+		if o.held <= g.term || o == s {
+			o.held = 0
+		}
 		if o == s || o.down || o.dark {
 			continue
 		}
--- a/internal/upstream/appointed_test.go
+++ b/internal/upstream/appointed_test.go
@@ -170,7 +170,9 @@
 		term = max(term, st.Term)
 	}
 	for n, st := range r.status {
-		st.Promised = 0
+		if st.Promised <= term+1 || n == server {
+			st.Promised = 0
+		}
 		if n != "p" || server == "p" {
 			st.Term = term + 1
 		}
@@ -181,6 +183,15 @@
 	}
 }
 
+// pauseReplicas leaves the replicas as a promoter of that term left them.
+func (r *rig) pauseReplicas(term uint64) {
+	for _, n := range []string{"a", "b"} {
+		st := r.status[n]
+		st.Promised = term
+		r.status[n] = st
+	}
+}
+
 func (r *rig) hold(server string, p session.Position) {
 	st := r.status[server]
 	st.Position = p
@@ -370,6 +381,16 @@
 		r.c.Assert(r.view.Primary, qt.Equals, "a")
 		r.c.Assert(r.lease.Holder, qt.Equals, "")
 	})
+	t.Run("that an earlier process of this node took is left alone until its order must have taken effect", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.lease = upstream.Lease{Token: 7, Holder: "n0", Version: 3}
+		r.pauseReplicas(2)
+		r.refuses["p"] = true
+		r.run(upstream.LeaseSettle - 200*time.Millisecond)
+		assertOrdered(r)
+		r.run(600 * time.Millisecond)
+		assertOrdered(r, "a")
+	})
 	t.Run("tokens only grow", func(t *testing.T) {
 		r := newRig(qt.New(t))
 		r.refuses["p"] = true
@@ -386,16 +407,24 @@
 func TestAppointedAbandoned(t *testing.T) {
 	t.Run("a pause that another node left is ended under the lease", func(t *testing.T) {
 		r := newRig(qt.New(t))
-		for _, n := range []string{"a", "b"} {
-			st := r.status[n]
-			st.Promised = 2
-			r.status[n] = st
-		}
+		r.pauseReplicas(2)
 		r.run(12 * time.Second)
 		assertNobodyPaused(r)
 		assertOrdered(r)
 		r.c.Assert(r.lease.Token > 0, qt.IsTrue)
 	})
+	t.Run("a pause above the term of the new primary ends at once", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.pauseReplicas(2)
+		r.refuses["p"] = true
+		for len(r.ordered) == 0 {
+			r.run(time.Millisecond)
+		}
+		r.appoint("a")
+		r.run(300 * time.Millisecond)
+		r.c.Assert(r.view.Primary, qt.Equals, "a")
+		assertNobodyPaused(r)
+	})
 	t.Run("a primary that comes back before the order keeps its place", func(t *testing.T) {
 		r := newRig(qt.New(t))
 		r.refuses["p"] = true
--- a/internal/upstream/kind.go
+++ b/internal/upstream/kind.go
@@ -53,7 +53,7 @@
 	OpenTimeout    time.Duration
 	// RankDelay keeps a lower-ranked node from racing the higher-ranked ones.
 	RankDelay time.Duration
-	// PromiseGrace is how long an unfinished promise of another node is left alone.
+	// PromiseGrace is how long an unfinished promise of another node is left alone, unless leases tell who promotes.
 	PromiseGrace time.Duration
 	// FollowEvery is the time between orders to follow to the same server.
 	FollowEvery time.Duration
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -141,8 +141,7 @@
 	if !ok || p.Stage != StageLeasing {
 		return
 	}
-	free := s.since + LeaseTerm + LeaseSettle
-	if e.Lease.Holder != "" && e.Lease.Holder != w.node && now < free {
+	if free := w.leaseFree(s); now < free {
 		w.note(operator.Record{Kind: operator.KindDuty, Group: e.Group, Cause: "lease_held"}.
 			WithEvidence("holder", e.Lease.Holder).WithEvidence("free_in", (free - now).String()))
 		w.schedule(p.WithStage(StageBackoff, min(free, now+leaseTimeout)))
@@ -152,6 +151,19 @@
 	w.out = append(w.out, TakeLease{Group: e.Group, Lease: e.Lease.WithHolder(w.node), Sent: now})
 }
 
+// leaseFree returns when a lease may be taken: at once if nobody holds it, after its term and the orders given in it otherwise.
+// What an earlier process of this node ordered has taken effect soon after this process began.
+func (w *Watch) leaseFree(s seen) time.Duration {
+	switch s.lease.Holder {
+	case "":
+		return 0
+	case w.node:
+		return w.began + LeaseSettle
+	default:
+		return s.since + LeaseTerm + LeaseSettle
+	}
+}
+
 // recordAgain repeats a record that missed the row's version, while the lease is still this node's.
 func (w *Watch) recordAgain(now time.Duration, p Promotion, l Lease) {
 	best := slices.IndexFunc(p.Promises, func(v Promise) bool { return v.Server == p.Chosen })
@@ -196,15 +208,16 @@
 		return false
 	}
 	w.promotions.Delete(g.Name)
-	w.resumeAll(now, g)
+	w.resumeAbove(now, g, 0)
 	w.release(p)
 	w.groups.Put(g.Name, g.WithoutSuspicion())
 	return true
 }
 
-func (w *Watch) resumeAll(now time.Duration, g Group) {
+// resumeAbove has the replicas follow again whose promise is of a higher term.
+func (w *Watch) resumeAbove(now time.Duration, g Group, term uint64) {
 	for _, s := range w.rows(g) {
-		if s.Status.Role == RoleReplica && s.Status.Promised != 0 {
+		if s.Status.Role == RoleReplica && s.Status.Promised > term {
 			w.out = append(w.out, OrderResume{Group: g.Name, Server: s.Name, Address: s.Address})
 			w.servers.Wake(s.Name, now+w.kind.Times.ProbeSoon)
 		}
@@ -221,7 +234,7 @@
 func (w *Watch) giveUp(now time.Duration, g Group, p Promotion) {
 	w.note(operator.Record{Kind: operator.KindPromotion, Group: p.Group, Term: p.Term, Cause: "no_successor"}.
 		WithEvidence("floor", g.Floor.String()).WithEvidence("promises", fmt.Sprint(p.Promises)))
-	w.resumeAll(now, g)
+	w.resumeAbove(now, g, 0)
 	w.release(p)
 	p = p.WithRetry(now + noSuccessorPause)
 	p.Lease = Lease{}
--- a/internal/upstream/promote.go
+++ b/internal/upstream/promote.go
@@ -44,7 +44,7 @@
 func (w *Watch) abandon(now time.Duration, g Group, p Promotion) {
 	w.promotions.Delete(g.Name)
 	if p.Lease.Valid(now) {
-		w.resumeAll(now, g)
+		w.resumeAbove(now, g, 0)
 	}
 	w.release(p)
 }
@@ -75,7 +75,7 @@
 	switch {
 	case !g.Suspect:
 		w.abandon(now, g, p)
-	case g.Cause != CauseUnfinished && g.Unmended != 0 && now-g.Unmended < w.kind.Times.PromiseGrace:
+	case !w.kind.Leases && g.Cause != CauseUnfinished && g.Unmended != 0 && now-g.Unmended < w.kind.Times.PromiseGrace:
 		w.schedule(p.WithStage(StageBackoff, g.Unmended+w.kind.Times.PromiseGrace))
 	case w.kind.Leases && !p.Lease.Valid(now):
 		w.seekLease(now, p)
@@ -244,6 +244,10 @@
 		w.note(promotionRecord(g, p.WithTimeline(t), *st))
 	}
 	w.promotions.Delete(g.Name)
+	if w.kind.Leases && p.Lease.Valid(now) {
+		// A promotion ends the pauses up to its own term. An attempt after a failed one asked for a higher term than the next.
+		w.resumeAbove(now, g, term)
+	}
 	w.release(p)
 }
 
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -19,11 +19,13 @@
 	leases     *table.Table[string, seen]
 	peers      []string
 	expected   time.Duration
-	stale      map[string]bool
-	out        []Action
-	jitter     func(limit time.Duration) time.Duration
-	kind       Kind
-	systems    []system
+	// began is the moment of the first step.
+	began   time.Duration
+	stale   map[string]bool
+	out     []Action
+	jitter  func(limit time.Duration) time.Duration
+	kind    Kind
+	systems []system
 }
 
 type system struct {
@@ -98,6 +100,7 @@
 		leases:     table.New[string, seen](),
 		peers:      []string{node},
 		expected:   table.Never,
+		began:      table.Never,
 		stale:      map[string]bool{},
 		jitter:     func(limit time.Duration) time.Duration { return limit / 2 },
 		kind:       Quorum(),
@@ -121,6 +124,7 @@
 // Step takes what was learned since the last step and returns what to do, and when to be called again at the latest.
 func (w *Watch) Step(now time.Duration, es []Event) ([]Action, time.Duration) {
 	w.out = nil
+	w.began = min(w.began, now)
 	w.noticePause(now)
 	for _, e := range es {
 		w.apply(now, e)
