Lanes take evidence of leadership for as long as control does

A lane kept the answer for 100 ms, the lifetime of the other kind of group, where promoters of this kind wait for 250 ms, which control's view says. An option nobody used is gone.

--- a/internal/caller/kind.go
+++ b/internal/caller/kind.go
@@ -140,7 +140,7 @@
 
 // ledAt reports whether the primary was surely the group's leader at a moment, by control's word or this lane's own.
 func (l *Lane) ledAt(at time.Duration) bool {
-	return l.view.Led(at) || l.led != 0 && at <= l.led+l.ttl
+	return l.view.Led(at) || l.led != 0 && at <= l.led+l.view.EvidenceTTL
 }
 
 // lead keeps evidence that the primary led at a moment and would do so for the evidence's lifetime.
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -44,7 +44,6 @@
 	retries     float64
 	rotation    int
 	draining    bool
-	ttl         time.Duration
 	jitter      func(limit time.Duration) time.Duration
 	violated    func(invariant, detail string)
 	trace       func(id string) bool
@@ -130,14 +129,6 @@
 	}
 }
 
-// WithEvidenceTTL replaces the time for which a proof may be acted on.
-func WithEvidenceTTL(d time.Duration) Option {
-	return func(l *Lane) error {
-		l.ttl = d
-		return nil
-	}
-}
-
 // NewLane returns the lane of a database group on a node in the given zone.
 func NewLane(group, zone string, opts ...Option) (*Lane, error) {
 	l := &Lane{
@@ -155,7 +146,6 @@
 		leases:   table.New[string, lease](),
 		wants:    map[string]demand{},
 		retries:  retryBurst,
-		ttl:      upstream.EvidenceTTL,
 		jitter:   func(limit time.Duration) time.Duration { return limit / 2 },
 		violated: func(string, string) {},
 		trace:    func(string) bool { return false },
