A node of a large fleet learns of a new primary also where others watch the group

Both had been told of the next one, and their lanes never were: with more than eight nodes a group is watched by eight of them and by those whose callers use it; the word that callers use it was dropped when it came before the group's first server, and what peers tell of a group that is not watched was not published to its lane. Ruled out: a late lane (its steps ran all the while), the promotion (fenced and ordered as it should be).

--- a/internal/upstream/appointed_test.go
+++ b/internal/upstream/appointed_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"buckthornport.example/buckthornport/internal/operator"
+	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/upstream"
 	"buckthornport.example/buckthornport/pkg/session"
 )
@@ -611,3 +612,49 @@
 	}
 	return nil
 }
+
+// TestLargeFleet keeps a node informed that is not among those that watch a group by rank.
+func TestLargeFleet(t *testing.T) {
+	peers := upstream.Peers{}
+	for i := range 4 * upstream.Watchers {
+		peers.Nodes = append(peers.Nodes, fmt.Sprintf("n%d", i))
+	}
+	watch := func(c *qt.C) *rig {
+		w, err := upstream.NewWatch("n0", upstream.WithKind(upstream.Appointed()))
+		c.Assert(err, qt.IsNil)
+		return &rig{c: c, w: w, now: time.Second, silent: map[string]bool{}, refuses: map[string]bool{}, status: map[string]upstream.Status{
+			"p": {Role: upstream.RolePrimary, Term: 1, Position: at(1, 100)},
+			"a": {Role: upstream.RoleReplica, Term: 1, Position: at(1, 100)},
+		}}
+	}
+	// unranked names a group that this node's rank leaves to others.
+	unranked := func(c *qt.C) string {
+		for i := 0; ; i++ {
+			if g := fmt.Sprintf("g%d", i); peer.Rank("n0", g, peers.Nodes) >= upstream.Watchers {
+				return g
+			}
+		}
+	}
+	t.Run("a group whose callers it has, however it came to know of it", func(t *testing.T) {
+		r := watch(qt.New(t))
+		g := unranked(r.c)
+		r.tell(peers, upstream.Served{Group: g, On: true})
+		for _, n := range []string{"p", "a"} {
+			r.tell(upstream.Configured{Server: n, Group: g, Zone: "z", Address: n})
+		}
+		r.tell(peers)
+		r.run(100 * time.Millisecond)
+		r.c.Assert(r.view.Primary, qt.Equals, "p")
+	})
+	t.Run("a group that it does not watch", func(t *testing.T) {
+		r := watch(qt.New(t))
+		g := unranked(r.c)
+		for _, n := range []string{"p", "a"} {
+			r.tell(upstream.Configured{Server: n, Group: g, Zone: "z", Address: n})
+		}
+		r.tell(peers)
+		r.tell(upstream.Learned{Group: g, Term: 7, Primary: "a"})
+		r.c.Assert(r.view.Primary, qt.Equals, "a")
+		r.c.Assert(r.view.Term, qt.Equals, uint64(7))
+	})
+}
--- a/internal/upstream/rows.go
+++ b/internal/upstream/rows.go
@@ -239,11 +239,17 @@
 
 // WithServer returns the row of the named group with one more server.
 func (g Group) WithServer(group, server string) Group {
-	g.Name = group
+	g = g.WithName(group)
 	g.Servers = append(slices.Clone(g.Servers), server)
 	return g
 }
 
+// WithName returns the row of the named group.
+func (g Group) WithName(group string) Group {
+	g.Name = group
+	return g
+}
+
 // WithRoute returns the row led by another primary at a higher term.
 func (g Group) WithRoute(term uint64, primary string, fs []session.Fork) Group {
 	g.Term = term
--- a/internal/upstream/suspect.go
+++ b/internal/upstream/suspect.go
@@ -25,8 +25,11 @@
 		}
 	}
 	for _, k := range w.groups.TakeDirty() {
+		// What peers tell of a group that others watch is news for its lane as well.
 		if g, _ := w.groups.Get(k); g.Watched {
 			w.groups.Put(k, w.weigh(now, g))
+		} else {
+			w.groups.Put(k, g.WithoutSuspicion())
 		}
 	}
 }
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -191,10 +191,10 @@
 			w.assign(now, k)
 		}
 	case Served:
-		if g, ok := w.groups.Get(e.Group); ok {
-			w.groups.Put(e.Group, g.WithDuty(e.On, g.Watched))
-			w.assign(now, e.Group)
-		}
+		// Callers may use a group before any of its servers is known.
+		g, _ := w.groups.Get(e.Group)
+		w.groups.Put(e.Group, g.WithName(e.Group).WithDuty(e.On, g.Watched))
+		w.assign(now, e.Group)
 	}
 }
 
