A replica whose pause has just ended is no witness in its old term

Ruled out: the witness being the old primary itself; a wrong term in the answer (it is the replica's own). Before: two new tests fail (a lane's own evidence, control's evidence).

--- a/internal/caller/appointed_test.go
+++ b/internal/caller/appointed_test.go
@@ -146,6 +146,18 @@
 		l.reply(only[caller.Send](l.c, as), 20)
 		assertHeldBack(l, l.prove(as, 2))
 	})
+	t.Run("take no evidence of a replica whose pause has just ended, as a promotion ends it too", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		as := l.ask(1, freshRead)
+		p := only[caller.Prove](l.c, as)
+		assertHeldBack(l, l.reply(only[caller.Send](l.c, as), 20))
+		as = append(l.step(caller.Proven{Proof: p.Proof, Term: 1, Paused: true}), l.wait(200*time.Millisecond)...)
+		assertHeldBack(l, l.prove(as, 1))
+		l.wait(upstream.PauseSettle)
+		as = l.ask(2, freshRead)
+		l.reply(only[caller.Send](l.c, as), 20)
+		assertReleased(l, l.prove(as, 1))
+	})
 	t.Run("are refused when none comes", func(t *testing.T) {
 		l := newLane(qt.New(t))
 		l.reply(only[caller.Send](l.c, l.ask(1, freshRead)), 20)
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -12,12 +12,14 @@
 
 // Lane holds the tables of one database's traffic on one node, and the systems that run over them each tick.
 type Lane struct {
-	group     string
-	zone      string
-	policy    Policy
-	kind      GroupKind
-	samples   []upstream.Sample
-	led       time.Duration
+	group   string
+	zone    string
+	policy  Policy
+	kind    GroupKind
+	samples []upstream.Sample
+	led     time.Duration
+	// paused is when a replica was last known to follow nobody, zero for never in this term.
+	paused    time.Duration
 	witnessed int
 	sessions  *table.Table[SessionID, Session]
 	requests  *table.Table[RequestID, Request]
@@ -292,9 +294,11 @@
 	if v.Term > l.view.Term {
 		l.samples = nil
 		l.led = 0
+		l.paused = 0
 		l.retryLed()
 	}
 	l.view = v
+	l.paused = max(l.paused, v.Paused)
 	l.sample(v.Sample)
 	l.releaseLed(now)
 	l.dropRemoved(now, v)
--- a/internal/caller/messages.go
+++ b/internal/caller/messages.go
@@ -91,6 +91,8 @@
 	Term  uint64
 	End   session.Position
 	Forks []session.Fork
+	// Paused says that the asked server followed nobody, since a promotion had paused it.
+	Paused bool
 }
 
 // ProofFailed is a proof that the asked server could not give.
--- a/internal/caller/proof.go
+++ b/internal/caller/proof.go
@@ -86,6 +86,10 @@
 		l.proofFailed(now, e.Proof)
 		return
 	}
+	if !l.kind.Settles && !l.vouches(now, p, e) {
+		l.proofFailed(now, e.Proof)
+		return
+	}
 	l.proofs.Delete(e.Proof)
 	if !l.kind.Settles {
 		l.lead(p.sent)
@@ -107,6 +111,15 @@
 	l.floorsProven(now, e)
 }
 
+// vouches reports whether a replica's answer shows that nobody leads in the primary's place: it was not paused when it was asked,
+// nor shortly before, since a promotion ends a pause as well.
+func (l *Lane) vouches(now time.Duration, p proof, e Proven) bool {
+	if e.Paused {
+		l.paused = now
+	}
+	return l.paused == 0 || p.sent >= l.paused+upstream.PauseSettle
+}
+
 // releaseLed answers what waited for evidence that the primary led, as far as the evidence goes.
 func (l *Lane) releaseLed(now time.Duration) {
 	ids := l.proving
--- a/internal/upstream/appointed.go
+++ b/internal/upstream/appointed.go
@@ -136,6 +136,15 @@
 	return 0
 }
 
+// PauseSettle is how long a replica whose pause has ended is no witness in its term. A promotion ends the pause as well, and the
+// replica may show its old term until it hears from the next primary, which takes part of a second.
+const PauseSettle = time.Second
+
+// settled reports whether servers of the group that follow somebody at a moment follow the primary of its term.
+func (g Group) settled(at time.Duration) bool {
+	return g.Paused == 0 || at >= g.Paused+PauseSettle
+}
+
 // unpaused reports whether a replica was not paused when it was asked: a promotion pauses all replicas before it orders. A
 // primary that has stepped down says nothing of the kind about itself.
 func unpaused(g Group, s Server) bool {
--- a/internal/upstream/appointed_test.go
+++ b/internal/upstream/appointed_test.go
@@ -549,6 +549,25 @@
 			r.c.Assert(led(r) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", r.view.LedAt))
 		})
 	}
+	t.Run("a replica whose pause has just ended gives none, as a promotion ends it too", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		answer := func() time.Duration {
+			for _, n := range []string{"a", "b"} {
+				r.tell(upstream.Probed{Server: n, Sent: r.now, Status: r.status[n]})
+			}
+			r.run(time.Millisecond)
+			return r.view.LedAt
+		}
+		r.pauseReplicas(2)
+		answer()
+		r.pauseReplicas(0)
+		ended := r.now
+		r.c.Assert(answer() < ended, qt.IsTrue)
+		r.run(upstream.PauseSettle / 2)
+		r.c.Assert(answer() < ended, qt.IsTrue)
+		r.run(upstream.PauseSettle)
+		r.c.Assert(answer() > ended, qt.IsTrue)
+	})
 	t.Run("a primary that stepped down gives none about itself", func(t *testing.T) {
 		r := newRig(qt.New(t))
 		r.storeDown = true
@@ -622,13 +641,15 @@
 	watch := func(c *qt.C) *rig {
 		w, err := upstream.NewWatch("n0", upstream.WithKind(upstream.Appointed()))
 		c.Assert(err, qt.IsNil)
-		return &rig{c: c, w: w, now: time.Second, silent: map[string]bool{}, refuses: map[string]bool{}, status: map[string]upstream.Status{
+		r := &rig{c: c, w: w, now: time.Second, silent: map[string]bool{}, refuses: map[string]bool{}}
+		r.status = map[string]upstream.Status{
 			"p": {Role: upstream.RolePrimary, Term: 1, Position: at(1, 100)},
 			"a": {Role: upstream.RoleReplica, Term: 1, Position: at(1, 100)},
-		}}
+		}
+		return r
 	}
 	// unranked names a group that this node's rank leaves to others.
-	unranked := func(c *qt.C) string {
+	unranked := func() string {
 		for i := 0; ; i++ {
 			if g := fmt.Sprintf("g%d", i); peer.Rank("n0", g, peers.Nodes) >= upstream.Watchers {
 				return g
@@ -637,7 +658,7 @@
 	}
 	t.Run("a group whose callers it has, however it came to know of it", func(t *testing.T) {
 		r := watch(qt.New(t))
-		g := unranked(r.c)
+		g := unranked()
 		r.tell(peers, upstream.Served{Group: g, On: true})
 		for _, n := range []string{"p", "a"} {
 			r.tell(upstream.Configured{Server: n, Group: g, Zone: "z", Address: n})
@@ -648,7 +669,7 @@
 	})
 	t.Run("a group that it does not watch", func(t *testing.T) {
 		r := watch(qt.New(t))
-		g := unranked(r.c)
+		g := unranked()
 		for _, n := range []string{"p", "a"} {
 			r.tell(upstream.Configured{Server: n, Group: g, Zone: "z", Address: n})
 		}
--- a/internal/upstream/messages.go
+++ b/internal/upstream/messages.go
@@ -204,6 +204,8 @@
 	// LedAt is a moment at which the primary had surely not been replaced, and would not be for EvidenceTTL after it.
 	LedAt       time.Duration
 	EvidenceTTL time.Duration
+	// Paused is when a server of the group was last known to follow nobody, zero for never in this term.
+	Paused time.Duration
 	// Sample is the latest position that the primary reported to a probe.
 	Sample Sample
 }
--- a/internal/upstream/rows.go
+++ b/internal/upstream/rows.go
@@ -171,8 +171,10 @@
 	Cause    string
 	Samples  []Sample
 	Unmended time.Duration
-	Served   bool
-	Watched  bool
+	// Paused is when a server was last known to have promised a term above the group's, zero for never in this term.
+	Paused  time.Duration
+	Served  bool
+	Watched bool
 	// LedAt is when the probe left whose answer last showed that the primary had not been replaced.
 	LedAt time.Duration
 	// Alert is until when the group is probed at the shorter interval because a write stalled.
@@ -256,6 +258,7 @@
 	g.Primary = primary
 	g.Forks = slices.Clone(fs)
 	g.LedAt = 0
+	g.Paused = 0
 	g.Headless = 0
 	g.Stuck = 0
 	g.Samples = nil
@@ -291,6 +294,12 @@
 	return g
 }
 
+// WithPaused returns the row with a server that is known to follow nobody now.
+func (g Group) WithPaused(now time.Duration) Group {
+	g.Paused = now
+	return g
+}
+
 // WithSample returns the row with one more sample, of which only the latest are kept.
 func (g Group) WithSample(s Sample) Group {
 	g.Samples = append(slices.Clone(g.Samples), s)
--- a/internal/upstream/suspect.go
+++ b/internal/upstream/suspect.go
@@ -62,7 +62,7 @@
 			if g.Unmended == 0 {
 				g = g.WithUnmended(now)
 			}
-			return g
+			return g.WithPaused(now)
 		}
 	}
 	return g.WithUnmended(0)
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -52,6 +52,7 @@
 	v := GroupView{
 		Name: g.Name, Term: g.Term, Primary: g.Primary, Suspect: g.Suspect, Forks: g.Forks, LedAt: g.LedAt,
 		Fenced:      g.Unmended != 0 && w.kind.Leases,
+		Paused:      g.Paused,
 		EvidenceTTL: w.kind.Times.EvidenceTTL,
 	}
 	if n := len(g.Samples); n > 0 {
