Age of evidence: leave out requests that were sent without any

Cause: in front of PostgreSQL, and on the platform before the first evidence of a term, there is no moment to count from, so that evidence_age_seconds held the process's uptime. Found on reading the change again. TestEvidenceAge fails before, passes after.

--- a/internal/caller/lane_test.go
+++ b/internal/caller/lane_test.go
@@ -206,3 +206,12 @@
 		assertNoted(c, append(as, b.step()...), operator.KindUnknown, "not_settled")
 	})
 }
+
+// TestEvidenceAge leaves requests out that were sent without evidence of leadership.
+func TestEvidenceAge(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(c)
+	o := only[caller.Open](c, b.ask(1, caller.Statement{Kind: caller.KindRead}))
+	only[caller.Send](c, b.step(caller.ConnOpened{Conn: o.Conn}))
+	c.Assert(b.lane.Stats().EvidenceAge.Count, qt.Equals, uint64(0))
+}
--- a/internal/caller/stats.go
+++ b/internal/caller/stats.go
@@ -29,12 +29,15 @@
 	}
 }
 
-// countSent takes note of a request that is about to be sent; led is the moment that the newest evidence of leadership is about.
+// countSent takes note of a request that is about to be sent; led is the moment that the newest evidence of leadership is about,
+// zero for none.
 func (s *Stats) countSent(now time.Duration, r Request, led time.Duration) {
 	if k := classKind(r); r.Attempts == 0 {
 		s.Waits[k] = s.Waits[k].WithSample(now - r.Arrived)
 	}
-	s.EvidenceAge = s.EvidenceAge.WithSample(now - led)
+	if led != 0 {
+		s.EvidenceAge = s.EvidenceAge.WithSample(now - led)
+	}
 }
 
 // countAnswer takes note of an answer.
