One rule for servers after a pause, one place for the newest evidence of a lead, no lock for records of requests

Control and lanes each had their own copy of the rule for a replica whose pause has just ended: upstream.Settled serves both. The newest of a lane's and control's evidence was worked out in four places. Counting failovers took a lock for every record of a request, which it leaves out.

--- a/internal/caller/kind.go
+++ b/internal/caller/kind.go
@@ -140,7 +140,12 @@
 
 // ledAt reports whether the primary was surely the group's leader at a moment, by control's word or this lane's own.
 func (l *Lane) ledAt(at time.Duration) bool {
-	return l.view.Led(at) || l.led != 0 && at <= l.led+l.view.EvidenceTTL
+	return l.view.WithLed(l.lastLed()).Led(at)
+}
+
+// lastLed is the moment that the newest evidence of the primary's lead is about, zero for none.
+func (l *Lane) lastLed() time.Duration {
+	return max(l.led, l.view.LedAt)
 }
 
 // lead keeps evidence that the primary led at a moment and would do so for the evidence's lifetime.
--- a/internal/caller/proof.go
+++ b/internal/caller/proof.go
@@ -117,7 +117,7 @@
 	if e.Paused {
 		l.paused = now
 	}
-	return l.paused == 0 || p.sent >= l.paused+upstream.PauseSettle
+	return upstream.Settled(p.sent, l.paused)
 }
 
 // releaseLed answers what waited for evidence that the primary led, as far as the evidence goes.
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -300,7 +300,7 @@
 	l.ensure(!r.Sent || r.Statement.Kind == KindRead || r.Statement.Kind == KindBegin, "write_sent_once",
 		func() string { return fmt.Sprintf("request %d attempt %d", r.ID, r.Attempts+1) })
 	l.checkFloor(s, r, row)
-	l.stats.countSent(now, r, max(l.led, l.view.LedAt))
+	l.stats.countSent(now, r, l.lastLed())
 	r = r.WithRun(now, id, row.View.Name)
 	r = r.WithHeld(l.kind.Notes || l.kind.Holds(s, r) || r.Statement.Kind == KindBegin)
 	if row.View.Name == l.view.Primary && l.needsLead(r) {
--- a/internal/caller/record.go
+++ b/internal/caller/record.go
@@ -53,7 +53,7 @@
 	l.tell(now, r, CauseSent, operator.Evidence{Name: "need", Value: a.Need.String()},
 		operator.Evidence{Name: "running", Value: strconv.Itoa(row.Running)},
 		operator.Evidence{Name: "took_ms", Value: millis(row.Took)},
-		operator.Evidence{Name: "lead_age_ms", Value: millis(now - max(l.led, l.view.LedAt))},
+		operator.Evidence{Name: "lead_age_ms", Value: millis(now - l.lastLed())},
 		operator.Evidence{Name: "held_for_lead", Value: strconv.FormatBool(r.Lead)})
 }
 
@@ -69,7 +69,7 @@
 		operator.Evidence{Name: "primary", Value: l.view.Primary},
 		operator.Evidence{Name: "suspect", Value: strconv.FormatBool(l.view.Suspect || l.view.Fenced)},
 		operator.Evidence{Name: "queued", Value: strconv.Itoa(l.queued())},
-		operator.Evidence{Name: "lead_age_ms", Value: millis(now - max(l.led, l.view.LedAt))})
+		operator.Evidence{Name: "lead_age_ms", Value: millis(now - l.lastLed())})
 }
 
 // queued is how many requests wait for a server.
--- a/internal/operator/failovers.go
+++ b/internal/operator/failovers.go
@@ -44,12 +44,13 @@
 
 // Count takes note of a record; those of other kinds are left out.
 func (f *Failovers) Count(r Record) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	// The kinds never change, so that the many records of requests take no lock.
 	causes, ok := f.counts[r.Kind]
 	if !ok {
 		return
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	causes[r.Cause]++
 	if r.Kind != KindPromotion {
 		return
--- a/internal/upstream/appointed.go
+++ b/internal/upstream/appointed.go
@@ -140,9 +140,10 @@
 // replica may show its old term until it hears from the next primary, which takes part of a second.
 const PauseSettle = time.Second
 
-// settled reports whether servers of the group that follow somebody at a moment follow the primary of its term.
-func (g Group) settled(at time.Duration) bool {
-	return g.Paused == 0 || at >= g.Paused+PauseSettle
+// Settled reports whether a server of a group that follows somebody at a moment follows the primary of the term that is known;
+// paused is when a server of the group was last known to follow nobody, zero for never in this term.
+func Settled(at, paused time.Duration) bool {
+	return paused == 0 || at >= paused+PauseSettle
 }
 
 // unpaused reports whether a replica was not paused when it was asked: a promotion pauses all replicas before it orders. A
--- a/internal/upstream/messages.go
+++ b/internal/upstream/messages.go
@@ -210,6 +210,12 @@
 	Sample Sample
 }
 
+// WithLed returns the view with another moment at which the primary had surely not been replaced.
+func (g GroupView) WithLed(at time.Duration) GroupView {
+	g.LedAt = at
+	return g
+}
+
 // Led reports whether the primary of the view was surely the group's leader at the given moment.
 func (g GroupView) Led(at time.Duration) bool {
 	return g.LedAt != 0 && at <= g.LedAt+g.EvidenceTTL
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -316,7 +316,7 @@
 
 // takeLead keeps a replica's word that its group's primary had not been replaced when the probe left.
 func (w *Watch) takeLead(s Server) {
-	if g, _ := w.groups.Get(s.Group); w.kind.Leads(g, s) && g.settled(s.Asked) {
+	if g, _ := w.groups.Get(s.Group); w.kind.Leads(g, s) && Settled(s.Asked, g.Paused) {
 		w.groups.Put(s.Group, g.WithLed(s.Asked))
 	}
 }
