--- a/internal/fleet/whole_test.go
+++ b/internal/fleet/whole_test.go
@@ -32,8 +32,10 @@
 // deployment is a platform, one group of three servers and some nodes on loopback.
 type deployment struct {
 	platform *metadata.Platform
-	nodes    []*Node
-	log      lockedBuffer
+	// address is where the platform's store and orders are served.
+	address string
+	nodes   []*Node
+	log     lockedBuffer
 }
 
 // lockedBuffer is a log that several nodes write.
@@ -66,25 +68,35 @@
 }
 
 func startDeployment(c *qt.C, nodes int) *deployment {
+	d := startPlatform(c)
+	for i := range nodes {
+		d.start(c, fmt.Sprintf("node-%d", i+1), "a")
+	}
+	d.awaitReady(c)
+	return d
+}
+
+// startPlatform returns a deployment that has no nodes yet.
+func startPlatform(c *qt.C) *deployment {
 	d := &deployment{platform: metadata.New()}
 	c.Assert(d.platform.AddGroup("books", []string{"a", "b", "m"}, 300*time.Millisecond), qt.IsNil)
 	d.platform.Put("op", "config", fmt.Appendf(nil, config, 3, ""))
 	srv := httptest.NewServer(d.platform.Handler())
 	c.Cleanup(srv.CloseClientConnections)
-	address := strings.TrimPrefix(srv.URL, "http://")
-	for i := range nodes {
-		d.start(c, fmt.Sprintf("node-%d", i+1), address)
-	}
+	d.address = strings.TrimPrefix(srv.URL, "http://")
+	return d
+}
+
+func (d *deployment) awaitReady(c *qt.C) {
 	for _, n := range d.nodes {
 		waitUntil(c, "node is ready", n.Ready)
 	}
-	return d
 }
 
-func (d *deployment) start(c *qt.C, name, address string) {
+func (d *deployment) start(c *qt.C, name, zone string) {
 	s := settings.Fleet{
-		Node: name, Zone: "a", Zones: bundle.Zones{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}, {Name: "m", Region: "q"}},
-		Listen: freeAddress(c), Ready: freeAddress(c), Peer: freeAddress(c), Store: address, Orders: address,
+		Node: name, Zone: zone, Zones: bundle.Zones{{Name: "a", Region: "r"}, {Name: "b", Region: "r"}, {Name: "m", Region: "q"}},
+		Listen: freeAddress(c), Ready: freeAddress(c), Peer: freeAddress(c), Store: d.address, Orders: d.address,
 		GraceMS: 2000, LogLevel: "info",
 	}
 	if len(d.nodes) > 0 {
@@ -329,7 +341,7 @@
 		}
 		d.nodes = nil
 		for i := range 2 {
-			d.start(c, fmt.Sprintf("new-%d", i+1), old[0].settings.Store)
+			d.start(c, fmt.Sprintf("new-%d", i+1), "a")
 		}
 		for _, n := range d.nodes {
 			waitUntil(c, "new node is ready", n.Ready)
@@ -339,7 +351,7 @@
 	t.Run("a node is added", func(t *testing.T) {
 		c := qt.New(t)
 		d := startDeployment(c, 1)
-		d.start(c, "added", d.nodes[0].settings.Store)
+		d.start(c, "added", "a")
 		for _, n := range d.nodes {
 			waitUntil(c, "both nodes know of each other", func() bool { return len(n.Status().Members) == 2 })
 		}
--- a/internal/standin/metadata/group.go
+++ b/internal/standin/metadata/group.go
@@ -18,6 +18,9 @@
 	promote time.Duration
 	term    uint64
 	acked   []entry
+	// limit is how many connections each server takes, zero for any number, and turnedAway counts those beyond it.
+	limit      int
+	turnedAway int
 }
 
 // entry is one committed write.
@@ -150,6 +153,20 @@
 	p.list(s, "ready")
 }
 
+// LimitConnections has each server of a group turn away connections beyond a number.
+func (p *Platform) LimitConnections(name string, limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.groups[name].limit = limit
+}
+
+// TurnedAway returns how many connections the servers of a group turned away because of their limit.
+func (p *Platform) TurnedAway(name string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.groups[name].turnedAway
+}
+
 // Reads returns how many reads the servers of a group have run.
 func (p *Platform) Reads(name string) int {
 	p.mu.Lock()
--- a/internal/standin/metadata/serve.go
+++ b/internal/standin/metadata/serve.go
@@ -42,7 +42,12 @@
 }
 
 func (p *Platform) serve(s *server, c net.Conn) {
-	defer func() { _ = c.Close() }()
+	defer func() {
+		_ = c.Close()
+		p.mu.Lock()
+		delete(s.conns, c)
+		p.mu.Unlock()
+	}()
 	b := &backend{p: p, s: s, state: "I", prepared: map[string]string{}}
 	r := bufio.NewReader(c)
 	for {
@@ -78,6 +83,10 @@
 		if len(fs) > 2 && fs[2] != b.s.id || fs[0] != b.s.group.name {
 			return "ERROR WRONGNODE " + b.s.id + "\r\n", true
 		}
+		if g := b.s.group; g.limit > 0 && len(b.s.conns) > g.limit {
+			g.turnedAway++
+			return "ERROR TOOMANY " + b.s.id + "\r\n", true
+		}
 		return b.ready(""), true
 	case "QUERY":
 		_, query, _ := strings.Cut(rest, " ")
