A few nodes of each zone serve a group for all where servers have too few connections

Each node kept at least one connection to each server for traffic and one for control, so that 80 nodes asked for 160 of 53, servers turned connections away, each attempt cost a slot, and status questions that found no connection made primaries count as failed.

Where nodes times four exceeds a server's connections, the first node of each zone by rendezvous hash, weighted by processor shares, serves the group and shares its connections with the others that do; they also share the duty of promoting. Other nodes hand each transaction to the nearest of them over a stream of the peer link, with the session's floor, values and class, and keep what the caller is told. A read whose node is lost goes to another, a commit is in doubt, an open transaction rolled back.

Questions of control to one server take turns, so that one connection does for them; a group whose duty was assigned before its first server came is no longer watched all the same.

--- a/internal/caller/policy.go
+++ b/internal/caller/policy.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"buckthornport.example/buckthornport/internal/upstream"
+	"buckthornport.example/buckthornport/pkg/bundle"
 )
 
 // Policy is how a lane shares out scarce servers; each field may be replaced on its own.
@@ -91,13 +92,18 @@
 	return r.Deadline - r.Arrived
 }
 
-// withinObjective lets a request wait for the part of its objective after which it would most likely be late; its caller can
-// ask another node then.
+// withinObjective lets a request wait for its class's patience.
 func withinObjective(r Request) time.Duration {
-	if d := time.Duration(r.Statement.Class.ObjectiveMS) * time.Millisecond; d > 0 {
-		return min(d*patientTenths/10, wholeDeadline(r))
+	return min(Patience(r.Statement.Class), wholeDeadline(r))
+}
+
+// Patience is the part of a class's objective after which a request that still waits would most likely be late; its caller can
+// ask another node then. Without an objective it is the deadline.
+func Patience(c bundle.Class) time.Duration {
+	if d := time.Duration(c.ObjectiveMS) * time.Millisecond; d > 0 {
+		return min(d*patientTenths/10, c.Deadline())
 	}
-	return wholeDeadline(r)
+	return c.Deadline()
 }
 
 // orderByCost is orderByClass with reads of slow classes behind the others: where slots are short, more requests are answered
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -175,8 +175,8 @@
 		case peer.OfferBundle:
 			next.add(BundleOffered{Encoded: a.Bundle, Source: "peer"})
 		case peer.MembersChanged:
-			next.add(upstream.Peers{Nodes: a.Names})
-			next.add(platform.FleetSized{Nodes: len(a.Names)})
+			next.add(upstream.Peers{Nodes: a.Names()})
+			next.add(platform.FleetSized{Nodes: len(a.Members)})
 			n.out = append(n.out, a)
 		case peer.MemberChanged:
 			n.record(now, next, operator.Record{Kind: operator.KindMember, Server: a.Name, Cause: a.State.String()}.
--- a/internal/control/thread.go
+++ b/internal/control/thread.go
@@ -44,7 +44,7 @@
 	// Publish hands the picture of a group to its lane; Adopt puts a bundle in force; Members tells who is there.
 	Publish func(v upstream.GroupView)
 	Adopt   func(b bundle.Bundle, encoded []byte)
-	Members func(names []string)
+	Members func(a peer.MembersChanged)
 	// Listed tells of a server that the platform lists, or no longer does.
 	Listed func(c platform.ServerChange)
 	// Note takes a record of the audit trail for the node's own log.
@@ -112,7 +112,7 @@
 	case peer.Send:
 		t.Send(a)
 	case peer.MembersChanged:
-		t.Members(a.Names)
+		t.Members(a)
 	case platform.PutRecords:
 		go t.put(a)
 	case BundleAdopted:
--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -6,6 +6,7 @@
 
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/control"
+	"buckthornport.example/buckthornport/internal/dispatcher"
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/peerlink"
@@ -23,6 +24,7 @@
 func (n *Node) makeLink() error {
 	var err error
 	n.link, err = peerlink.New(func(m peer.Message) { n.thread.Post(peer.Received{Message: m}) },
+		peerlink.WithJobs(n.serveJobs),
 		peerlink.WithCounted(func(zone string, bytes int) { n.peerBytes.Sent(n.settings.Distance(zone), bytes) }))
 	return err
 }
@@ -33,7 +35,7 @@
 		return err
 	}
 	life := uint64(n.start.UnixNano())
-	opts := []peer.Option{peer.WithRandom(tick.Random)}
+	opts := []peer.Option{peer.WithRandom(tick.Random), peer.WithWeight(n.settings.Weight())}
 	for _, a := range n.settings.Seeds {
 		if a != n.settings.Peer {
 			opts = append(opts, peer.WithMember(a, "", a))
@@ -203,11 +205,33 @@
 	if !ok {
 		return platform.Route{}, false
 	}
+	route := platform.Route{Group: v.Group, Class: v.Class, Version: r.bundle.Version}
+	if l, ok := n.laneFor(v.Group); ok {
+		route.Post = l.Post
+	} else {
+		route.Post, route.Relayed = n.relayFor(v.Group), true
+	}
+	return route, true
+}
+
+// laneFor returns the lane of a group that this node serves.
+func (n *Node) laneFor(group string) (*traffic.Lane, bool) {
 	n.mu.Lock()
-	l, ok := n.lanes[v.Group]
-	n.mu.Unlock()
-	if !ok {
-		return platform.Route{}, false
+	defer n.mu.Unlock()
+	if !n.serving[group].here {
+		return nil, false
+	}
+	l, ok := n.lanes[group]
+	return l, ok
+}
+
+// relayFor returns what takes the events of callers whose group other nodes serve.
+func (n *Node) relayFor(group string) func(e caller.Event) {
+	return func(e caller.Event) {
+		if o, ok := e.(caller.SessionOpened); ok {
+			n.relay.Post(dispatcher.Opened{Session: o.Session, Group: group, Floor: o.Floor})
+			return
+		}
+		n.relay.Post(e)
 	}
-	return platform.Route{Group: v.Group, Class: v.Class, Version: r.bundle.Version, Post: l.Post}, true
 }
--- a/internal/fleet/drain.go
+++ b/internal/fleet/drain.go
@@ -23,6 +23,7 @@
 func (n *Node) Drain() {
 	n.draining.Store(true)
 	n.thread.Post(peer.LeaveBegun{})
+	n.tellLeaving()
 	grace := time.Duration(n.grace.Load()) * time.Millisecond
 	begun := n.clock()
 	n.keep(operator.Record{Kind: operator.KindDrain, Cause: "begun"}.
--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -153,12 +153,13 @@
 
 // memberRow is what a node leaves in the store so that others find it.
 type memberRow struct {
-	Zone string `json:"zone"`
+	Zone   string `json:"zone"`
+	Weight uint32 `json:"weight"`
 }
 
 // register leaves word of this node under its address; the store may be away when the node starts.
 func (n *Node) register() {
-	raw, err := json.Marshal(memberRow{Zone: n.settings.Zone})
+	raw, err := json.Marshal(memberRow{Zone: n.settings.Zone, Weight: n.settings.Weight()})
 	for pause := feedRetry; err == nil && n.ctx.Err() == nil; pause = min(2*pause, feedRetryMax) {
 		ctx, stop := context.WithTimeout(n.ctx, readLimit)
 		failed := n.store.Write(ctx, tableMembers, n.settings.Peer, raw)
@@ -176,5 +177,5 @@
 	if err := json.Unmarshal(r.Value, &m); r.Deleted || err != nil {
 		return
 	}
-	n.thread.Post(peer.Listed{Updates: []peer.Update{{Name: r.Key, Zone: m.Zone, Address: r.Key}}})
+	n.thread.Post(peer.Listed{Updates: []peer.Update{{Name: r.Key, Zone: m.Zone, Address: r.Key, Weight: m.Weight}}})
 }
--- a/internal/fleet/many_test.go
+++ b/internal/fleet/many_test.go
@@ -60,6 +60,9 @@
 	t.Run("all callers are served", func(t *testing.T) {
 		c := qt.New(t)
 		d := startManyNodes(c, 15, 12)
+		waitUntil(c, "few nodes are left that ask servers for their status", func() bool {
+			return d.platform.Connections("books") <= 3
+		})
 		before := d.platform.TurnedAway("books")
 		assertServesAll(c, d, "ledger", "tickets")
 		c.Assert(d.platform.TurnedAway("books")-before, qt.Equals, 0)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -17,6 +17,7 @@
 	"buckthornport.example/buckthornport/internal/control"
 	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/internal/operator"
+	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/peerlink"
 	"buckthornport.example/buckthornport/internal/settings"
 	"buckthornport.example/buckthornport/internal/tick"
@@ -45,6 +46,7 @@
 	front      *platform.Front
 	thread     *control.Thread
 	link       *peerlink.Link
+	relay      *traffic.Relay
 	routes     atomic.Pointer[routing]
 	draining   atomic.Bool
 	grace      atomic.Int64
@@ -56,11 +58,20 @@
 
 	mu      sync.Mutex
 	lanes   map[string]*traffic.Lane
-	members []string
+	members []peer.Update
+	// serving says which nodes serve each group, tenants are the streams of those that hand requests to this one.
+	serving map[string]serving
+	tenants map[*tenants]bool
 	slots   map[string]server
 	views   map[string]upstream.GroupView
 }
 
+// serving is which nodes serve a group, and whether this is one of them.
+type serving struct {
+	nodes []string
+	here  bool
+}
+
 // server is what the platform's list says of a server, as far as shares depend on it.
 type server struct {
 	group string
@@ -107,7 +118,9 @@
 	n := &Node{
 		settings: s, log: zap.NewNop(), level: zap.NewAtomicLevel(), logDropped: func() uint64 { return 0 },
 		limiter: operator.NewLimiter(), failovers: operator.NewFailovers(),
-		clock: tick.NewClock(), start: time.Now(), members: []string{s.Peer},
+		clock: tick.NewClock(), start: time.Now(),
+		members: []peer.Update{{Name: s.Peer, Zone: s.Zone, Address: s.Peer, Weight: s.Weight()}},
+		serving: map[string]serving{}, tenants: map[*tenants]bool{},
 		lanes: map[string]*traffic.Lane{}, slots: map[string]server{}, views: map[string]upstream.GroupView{},
 	}
 	for _, o := range opts {
@@ -126,7 +139,7 @@
 	n.orders = platform.NewOrders(s.Orders, s.Node, n.mayOrder)
 	n.front = platform.NewFront(n.route)
 	n.front.Known = func() bool { return n.routes.Load().bundle.Version != 0 }
-	for _, f := range []func() error{n.makeLink, n.makeThread} {
+	for _, f := range []func() error{n.makeLink, n.makeThread, n.makeRelay} {
 		if err := f(); err != nil {
 			return nil, trace.Wrap(err)
 		}
@@ -156,6 +169,7 @@
 		g.Add(func() error { return l.serve(listener) }, func(error) { _ = listener.Close() })
 	}
 	g.Add(n.thread.Run, func(error) { n.stop() })
+	g.Add(n.relay.Run, func(error) { n.stop() })
 	for _, f := range n.feeds() {
 		g.Add(func() error { return n.follow(f) }, func(error) { n.stop() })
 	}
@@ -178,7 +192,8 @@
 	return nil
 }
 
-// Ready reports whether the node should get new connections: it knows its routes and has found a primary for each group.
+// Ready reports whether the node should get new connections: it knows its routes, and for each group it has found a primary or a
+// node that serves the group.
 func (n *Node) Ready() bool {
 	if n.draining.Load() {
 		return false
@@ -186,7 +201,16 @@
 	b := n.routes.Load().bundle
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return b.Version != 0 && !slices.ContainsFunc(b.Groups, func(g bundle.Group) bool { return n.views[g.Name].Primary == "" })
+	return b.Version != 0 && !slices.ContainsFunc(b.Groups, func(g bundle.Group) bool { return !n.reaches(g.Name) })
+}
+
+// reaches reports whether requests for a group have somewhere to go; the lock is held.
+func (n *Node) reaches(group string) bool {
+	s := n.serving[group]
+	if s.here {
+		return n.views[group].Primary != ""
+	}
+	return slices.ContainsFunc(s.nodes, n.relay.Up)
 }
 
 func (n *Node) violated(invariant, detail string) {
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -10,7 +10,6 @@
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/peer"
 	listing "buckthornport.example/buckthornport/internal/platform"
-	"buckthornport.example/buckthornport/internal/upstream"
 	"buckthornport.example/buckthornport/pkg/bundle"
 )
 
@@ -41,17 +40,18 @@
 		n.mu.Lock()
 		n.lanes[g.Name] = l
 		n.mu.Unlock()
-		n.thread.Post(upstream.Served{Group: g.Name, On: true})
 	}
+	n.assignAll(b)
 	n.routes.Store(newRouting(b))
 	n.limitAll()
 }
 
 // setMembers shares servers out anew among the nodes that are there.
-func (n *Node) setMembers(names []string) {
+func (n *Node) setMembers(a peer.MembersChanged) {
 	n.mu.Lock()
-	n.members = names
+	n.members = a.Members
 	n.mu.Unlock()
+	n.assignAll(n.routes.Load().bundle)
 	n.limitAll()
 }
 
@@ -92,17 +92,18 @@
 	b := n.routes.Load().bundle
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	rank := max(0, slices.Index(n.members, n.settings.Peer))
 	for id, s := range n.slots {
 		l, ok := n.lanes[s.group]
 		g, known := b.Group(s.group)
 		if !ok || !known {
 			continue
 		}
+		nodes := n.serving[s.group].nodes
+		rank := max(0, slices.Index(nodes, n.settings.Peer))
 		l.Post(caller.Limited{
 			Server: id,
-			Slots:  max(leastSlots, peer.Share(s.slots*queuedPerSlot, len(n.members), rank)),
-			Conns:  max(1, peer.Share(g.ConnectionsPerServer, len(n.members), rank)-controlConns),
+			Slots:  max(leastSlots, peer.Share(s.slots*queuedPerSlot, max(1, len(nodes)), rank)),
+			Conns:  max(1, peer.Share(g.ConnectionsPerServer, max(1, len(nodes)), rank)-controlConns),
 		})
 	}
 }
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 
+	"buckthornport.example/buckthornport/internal/dispatcher"
 	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/internal/traffic"
 )
@@ -31,6 +32,9 @@
 	LogLeftOut    uint64             `json:"log_records_left_out"`
 	LogDropped    uint64             `json:"log_lines_dropped"`
 	Lanes         []traffic.Snapshot `json:"lanes"`
+	// Relay counts the requests that were handed to dispatchers, over so many links.
+	Relay      dispatcher.Stats `json:"relay"`
+	RelayLinks int              `json:"relay_links"`
 }
 
 // Status returns the node's picture of itself.
@@ -42,8 +46,11 @@
 	}
 	s.PeerBytes, s.PeerDropped = n.link.Counts()
 	s.StoreCalls, s.StoreFailed = n.store.Counts()
+	s.Relay, s.RelayLinks = n.relay.Stats()
 	n.mu.Lock()
-	s.Members = slices.Clone(n.members)
+	for _, u := range n.members {
+		s.Members = append(s.Members, u.Name)
+	}
 	lanes := make([]*traffic.Lane, 0, len(n.lanes))
 	for _, l := range n.lanes {
 		lanes = append(lanes, l)
@@ -109,7 +116,28 @@
 	t.Bytes("server", &n.serverBytes)
 	t.BytesSent("node", &n.peerBytes)
 	n.failovers.Write(t)
+	writeRelay(t, s)
 	for _, l := range s.Lanes {
 		l.WriteMetrics(t)
 	}
 }
+
+// writeRelay writes what became of the requests that were handed to dispatchers.
+func writeRelay(t metrics.Text, s Status) {
+	for _, k := range []struct {
+		outcome string
+		value   uint64
+	}{
+		{"asked", s.Relay.Requests},
+		{"answered", s.Relay.Answered},
+		{"refused", s.Relay.Refused},
+		{"unknown", s.Relay.Unknown},
+		{"sent_again", s.Relay.SentAgain},
+		{"declined", s.Relay.Declined},
+		{"stray", s.Relay.Stray},
+	} {
+		t.Line("relayed_requests_total", k.value, "outcome", k.outcome)
+	}
+	t.Line("dispatcher_links", s.RelayLinks)
+	t.Line("dispatcher_links_lost_total", s.Relay.LinksLost)
+}
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"math/bits"
 	"slices"
 	"time"
@@ -87,6 +88,14 @@
 	}
 }
 
+// WithWeight sets the node's share of a processor in thousandths, by which nodes that serve others are chosen.
+func WithWeight(weight uint32) Option {
+	return func(m *Membership) error {
+		m.self.Weight = weight
+		return nil
+	}
+}
+
 // NewMembership returns the fleet as seen by the named node; incarnation must be higher than in the node's earlier lives.
 func NewMembership(name, zone, address string, incarnation uint64, opts ...Option) (*Membership, error) {
 	m := &Membership{
@@ -119,16 +128,16 @@
 	return m.out, min(m.nextAt, m.members.NextDue())
 }
 
-// Alive returns the names of all nodes that are there, this one included, in order.
-func (m *Membership) Alive() []string {
-	names := []string{m.self.Name}
+// Alive returns all nodes that are there, this one included, in the order of their names.
+func (m *Membership) Alive() []Update {
+	us := []Update{m.self}
 	for _, k := range m.members.Keys() {
 		if r, _ := m.members.Get(k); r.State == StateAlive || r.State == StateSuspect {
-			names = append(names, k)
+			us = append(us, r.update())
 		}
 	}
-	slices.Sort(names)
-	return names
+	slices.SortFunc(us, func(a, b Update) int { return cmp.Compare(a.Name, b.Name) })
+	return us
 }
 
 // Version is that of the bundle that this node spreads.
@@ -330,6 +339,7 @@
 	}
 	next := r.WithState(now, u.State, u.Incarnation)
 	next.Zone, next.Address = u.Zone, u.Address
+	next.Weight = cmp.Or(u.Weight, r.Weight)
 	m.change(r, next)
 }
 
@@ -337,6 +347,7 @@
 func (m *Membership) change(before, after Member) {
 	m.members.Put(after.Name, after)
 	m.known ^= before.update().hash() ^ after.update().hash()
+	m.changed = m.changed || before.Zone != after.Zone || before.Weight != after.Weight
 	if before.State != after.State {
 		m.changed = true
 		m.out = append(m.out, MemberChanged{Name: after.Name, State: after.State, Before: before.State})
--- a/internal/peer/rows.go
+++ b/internal/peer/rows.go
@@ -29,6 +29,7 @@
 	Name        string
 	Zone        string
 	Address     string
+	Weight      uint32
 	Incarnation uint64
 	State       State
 	Since       time.Duration
@@ -70,7 +71,9 @@
 
 // update is the row as news.
 func (m Member) update() Update {
-	return Update{Name: m.Name, Zone: m.Zone, Address: m.Address, Incarnation: m.Incarnation, State: m.State}
+	return Update{
+		Name: m.Name, Zone: m.Zone, Address: m.Address, Weight: m.Weight, Incarnation: m.Incarnation, State: m.State,
+	}
 }
 
 // hash sums up a member's row, so that the digest of all rows can be kept by exclusive or; the dead do not count.
@@ -89,9 +92,11 @@
 
 // Update is news about one member.
 type Update struct {
-	Name        string
-	Zone        string
-	Address     string
+	Name    string
+	Zone    string
+	Address string
+	// Weight is the member's share of a processor in thousandths, zero if it is not known.
+	Weight      uint32
 	Incarnation uint64
 	State       State
 }
@@ -187,9 +192,18 @@
 	Bundle []byte
 }
 
-// MembersChanged gives the names of all nodes that are there.
+// MembersChanged gives all nodes that are there, in the order of their names.
 type MembersChanged struct {
-	Names []string
+	Members []Update
+}
+
+// Names returns the names of the nodes.
+func (a MembersChanged) Names() []string {
+	names := make([]string, 0, len(a.Members))
+	for _, u := range a.Members {
+		names = append(names, u.Name)
+	}
+	return names
 }
 
 // MemberChanged says that what is believed of one node changed.
--- a/internal/peerlink/codec.go
+++ b/internal/peerlink/codec.go
@@ -1,6 +1,12 @@
 package peerlink
 
-import "buckthornport.example/buckthornport/internal/peer"
+import (
+	"buckthornport.example/buckthornport/internal/caller"
+	"buckthornport.example/buckthornport/internal/dispatcher"
+	"buckthornport.example/buckthornport/internal/peer"
+	"buckthornport.example/buckthornport/pkg/bundle"
+	"buckthornport.example/buckthornport/pkg/session"
+)
 
 func encode(m peer.Message) *Message {
 	p := &Message{
@@ -9,7 +15,7 @@
 	}
 	for _, u := range m.Updates {
 		p.Updates = append(p.Updates, &Update{
-			Name: u.Name, Zone: u.Zone, Address: u.Address, Incarnation: u.Incarnation, State: uint32(u.State),
+			Name: u.Name, Zone: u.Zone, Address: u.Address, Incarnation: u.Incarnation, State: uint32(u.State), Weight: u.Weight,
 		})
 	}
 	for _, r := range m.Routes {
@@ -28,7 +34,7 @@
 		m.Kind = peer.Kind(p.Kind)
 	}
 	for _, u := range p.Updates {
-		v := peer.Update{Name: u.Name, Zone: u.Zone, Address: u.Address, Incarnation: u.Incarnation}
+		v := peer.Update{Name: u.Name, Zone: u.Zone, Address: u.Address, Incarnation: u.Incarnation, Weight: u.Weight}
 		if u.State <= uint32(peer.StateDead) {
 			v.State = peer.State(u.State)
 		}
@@ -39,3 +45,60 @@
 	}
 	return m
 }
+
+func encodePosition(p session.Position) *Position {
+	if p.IsZero() {
+		return nil
+	}
+	return &Position{Term: p.Term, Offset: p.Offset}
+}
+
+func decodePosition(p *Position) session.Position {
+	return session.Position{Term: p.GetTerm(), Offset: p.GetOffset()}
+}
+
+func encodeJob(j dispatcher.Job) *Job {
+	s := j.Statement
+	return &Job{
+		Session: uint64(j.Session), Seq: j.Seq, Group: j.Group, Floor: encodePosition(j.Floor),
+		Version: s.Version, Id: s.ID, Text: j.Text, Shape: j.Shape, Writes: j.Writes, Names: j.Names,
+		Values: j.Values,
+		Class: &Class{
+			Name: s.Class.Name, DeadlineMs: s.Class.DeadlineMS, Priority: int64(s.Class.Priority),
+			IdleTransactionMs: s.Class.IdleTransactionMS, ObjectiveMs: s.Class.ObjectiveMS, MaxAgeMs: s.Class.MaxAgeMS,
+			SessionBound: s.Class.SessionBound,
+		},
+	}
+}
+
+func decodeJob(p *Job) dispatcher.Job {
+	v := p.GetClass()
+	return dispatcher.Job{
+		Forward: dispatcher.Forward{
+			Session: caller.SessionID(p.Session), Seq: p.Seq, Group: p.Group, Floor: decodePosition(p.Floor),
+			Statement: caller.Statement{
+				Version: p.Version, ID: p.Id,
+				Class: bundle.Class{
+					Name: v.GetName(), DeadlineMS: v.GetDeadlineMs(), Priority: int(v.GetPriority()),
+					IdleTransactionMS: v.GetIdleTransactionMs(), ObjectiveMS: v.GetObjectiveMs(), MaxAgeMS: v.GetMaxAgeMs(),
+					SessionBound: v.GetSessionBound(),
+				},
+			},
+		},
+		Work: dispatcher.Work{Text: p.Text, Shape: p.Shape, Writes: p.Writes, Names: p.Names, Values: p.Values},
+	}
+}
+
+func encodeOutcome(o dispatcher.Outcome) *Outcome {
+	return &Outcome{
+		Session: uint64(o.Session), Seq: o.Seq, Declined: o.Declined, Answer: o.Answer, State: o.State, Open: o.Open,
+		Position: encodePosition(o.Position), Floor: encodePosition(o.Floor),
+	}
+}
+
+func decodeOutcome(p *Outcome) dispatcher.Outcome {
+	return dispatcher.Outcome{
+		Session: caller.SessionID(p.Session), Seq: p.Seq, Declined: p.Declined, Answer: p.Answer, State: p.State, Open: p.Open,
+		Position: decodePosition(p.Position), Floor: decodePosition(p.Floor),
+	}
+}
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
 
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/traffic"
@@ -30,6 +31,7 @@
 	receive func(m peer.Message)
 	tls     func() *tls.Config
 	counted func(zone string, bytes int)
+	jobs    func(a Answers) Jobs
 	mu      sync.Mutex
 	lines   map[string]*line
 	inbound map[net.Conn]bool
@@ -87,6 +89,11 @@
 		return
 	}
 	defer l.untrack(conn)
+	if c, ok := conn.(*net.TCPConn); ok {
+		if err := traffic.EndWhenSilent(c); err != nil {
+			return
+		}
+	}
 	secured := conn
 	if cfg := l.tls(); cfg != nil {
 		secured = tls.Server(conn, cfg)
@@ -123,21 +130,21 @@
 	defer func() { _ = stream.Close() }()
 	r := bufio.NewReader(stream)
 	for {
-		m, err := readMessage(r)
-		if err != nil {
+		var p Message
+		if err := readMessage(r, &p); err != nil {
+			return
+		}
+		if p.Kind == kindJobs && l.jobs != nil {
+			l.serveJobs(stream, r)
 			return
 		}
-		l.receive(m)
+		l.receive(decode(&p))
 	}
 }
 
-func readMessage(r protodelim.Reader) (peer.Message, error) {
-	var p Message
-	o := protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}
-	if err := o.UnmarshalFrom(r, &p); err != nil {
-		return peer.Message{}, err
-	}
-	return decode(&p), nil
+// readMessage reads one message of bounded size.
+func readMessage(r protodelim.Reader, m proto.Message) error {
+	return protodelim.UnmarshalOptions{MaxSize: maxMessageBytes}.UnmarshalFrom(r, m)
 }
 
 // Send queues a message; it never blocks.
@@ -232,12 +239,16 @@
 func (n *line) dial() (net.Conn, func(), error) {
 	ctx, stop := context.WithTimeout(n.ctx, dialTimeout)
 	defer stop()
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", n.address)
+	return n.link.dial(ctx, n.address)
+}
+
+// dial opens a connection to a peer with one stream in it; the function closes both.
+func (l *Link) dial(ctx context.Context, address string) (net.Conn, func(), error) {
+	conn, err := traffic.Dialer().DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, nil, err
 	}
-	if cfg := n.link.tls(); cfg != nil {
+	if cfg := l.tls(); cfg != nil {
 		conn = tls.Client(conn, cfg)
 	}
 	s, err := yamux.Client(conn, config())
--- a/internal/peerlink/link_test.go
+++ b/internal/peerlink/link_test.go
@@ -136,10 +136,11 @@
 	}
 	f.Add(b.Bytes())
 	f.Fuzz(func(t *testing.T, text []byte) {
-		m, err := readMessage(bytes.NewReader(text))
-		if err != nil {
+		var p Message
+		if err := readMessage(bytes.NewReader(text), &p); err != nil {
 			return
 		}
+		m := decode(&p)
 		if m.Kind > peer.KindNews {
 			t.Fatalf("kind %d", m.Kind)
 		}
--- a/internal/proxy/adopt.go
+++ b/internal/proxy/adopt.go
@@ -42,9 +42,9 @@
 }
 
 // setMembers shares connections out anew among the nodes that are there.
-func (n *Node) setMembers(names []string) {
+func (n *Node) setMembers(a peer.MembersChanged) {
 	n.mu.Lock()
-	n.members = names
+	n.members = a.Names()
 	n.mu.Unlock()
 	for _, g := range n.Bundle().Groups {
 		if l, ok := n.lane(g.Name); ok {
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -21,18 +21,23 @@
 	Seeds  []string `json:"seeds"`
 	Status string   `json:"status"`
 	// Store is the platform's metadata store, Orders where it takes orders to promote.
-	Store    string `json:"store"`
-	Orders   string `json:"orders"`
-	GraceMS  int    `json:"grace_ms"`
-	LogLevel string `json:"log_level"`
+	Store   string `json:"store"`
+	Orders  string `json:"orders"`
+	GraceMS int    `json:"grace_ms"`
+	// Cores is the share of a processor that the node has, by which work for others is given out.
+	Cores    float64 `json:"cores"`
+	LogLevel string  `json:"log_level"`
 }
 
 // DefaultGraceMS is how long a node on the platform has from SIGTERM to its end.
 const DefaultGraceMS = 6000
 
+// DefaultCores is the share of a processor that a node is taken to have.
+const DefaultCores = 1
+
 // ParseFleet reads the settings of a proxy on the platform; its error is a jsonc.Mistakes.
 func ParseFleet(file string, source []byte) (Fleet, error) {
-	f := Fleet{GraceMS: DefaultGraceMS, LogLevel: DefaultLogLevel}
+	f := Fleet{GraceMS: DefaultGraceMS, LogLevel: DefaultLogLevel, Cores: DefaultCores}
 	t := jsonc.Decode(file, source, &f)
 	for path, v := range map[string]string{"node": f.Node, "zone": f.Zone} {
 		if v == "" {
@@ -49,6 +54,9 @@
 		checkAddress(t, fmt.Sprintf("seeds[%d]", i), v, true)
 	}
 	checkChoice(t, "log_level", f.LogLevel, logLevels)
+	if f.Cores <= 0 {
+		t.Mistake("cores", "is no share of a processor", "want a number above zero")
+	}
 	if f.GraceMS < 1 {
 		t.Mistake("grace_ms", "leaves no time", "want a number of milliseconds above zero")
 	}
@@ -64,6 +72,11 @@
 	}
 }
 
+// Weight is the node's share of a processor in thousandths.
+func (f Fleet) Weight() uint32 {
+	return uint32(max(1, f.Cores*1000))
+}
+
 // Distance is how far a zone is from the node's own.
 func (f Fleet) Distance(zone string) metrics.Distance {
 	return metrics.Between(f.Zone, f.Zones.Region(f.Zone), zone, f.Zones.Region(zone))
--- a/internal/standin/metadata/group.go
+++ b/internal/standin/metadata/group.go
@@ -167,6 +167,17 @@
 	return p.groups[name].turnedAway
 }
 
+// Connections returns how many connections the server of a group has that has most.
+func (p *Platform) Connections(name string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	most := 0
+	for _, s := range p.groups[name].servers {
+		most = max(most, len(s.conns))
+	}
+	return most
+}
+
 // Reads returns how many reads the servers of a group have run.
 func (p *Platform) Reads(name string) int {
 	p.mu.Lock()
--- a/internal/traffic/conns.go
+++ b/internal/traffic/conns.go
@@ -6,8 +6,48 @@
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// userTimeout ends a connection whose bytes the other side has not acknowledged for so long.
+	userTimeout = 1500 * time.Millisecond
+	// keepAlive is the pause before and between probes of an idle connection; it is given up after keepAliveProbes of them.
+	keepAlive       = 2 * time.Second
+	keepAliveProbes = 2
 )
 
+// silence is how the operating system notices that an idle connection's path has gone silent.
+var silence = net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive / 2, Count: keepAliveProbes}
+
+// Dialer opens connections that end by themselves when the path has gone silent.
+func Dialer() *net.Dialer {
+	return &net.Dialer{KeepAliveConfig: silence, Control: func(_, _ string, c syscall.RawConn) error { return limitSilence(c) }}
+}
+
+// EndWhenSilent has a connection that was accepted end by itself when the path has gone silent.
+func EndWhenSilent(conn *net.TCPConn) error {
+	if err := conn.SetKeepAliveConfig(silence); err != nil {
+		return err
+	}
+	c, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return limitSilence(c)
+}
+
+func limitSilence(c syscall.RawConn) error {
+	var err error
+	if e := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	}); e != nil {
+		return e
+	}
+	return err
+}
+
 // acceptBackoff is the pause after a connection that the operating system did not let in.
 const acceptBackoff = 20 * time.Millisecond
 
--- a/internal/traffic/lane.go
+++ b/internal/traffic/lane.go
@@ -185,21 +185,7 @@
 	case caller.Note:
 		l.Note(a.Record)
 	default:
-		l.performAnswer(a)
-	}
-}
-
-// performAnswer writes to a caller, in a goroutine of its own because the caller may be slow to read.
-func (l *Lane) performAnswer(a caller.Action) {
-	switch a := a.(type) {
-	case caller.Release:
-		go l.Callers.Release(a)
-	case caller.Complete:
-		go l.Callers.Complete(a)
-	case caller.Refuse:
-		go l.Callers.Refuse(a)
-	case caller.EndSession:
-		go l.Callers.End(a.Session)
+		performAnswer(l.Callers, a)
 	}
 }
 
--- a/internal/upstream/messages.go
+++ b/internal/upstream/messages.go
@@ -91,10 +91,12 @@
 	Server string
 }
 
-// Served says whether callers of this node use a group, which it then watches whatever its rank.
+// Served says whether this node serves a group, which it then watches whatever its rank. Nodes are those among which the duty of
+// promoting is shared, all nodes unless set.
 type Served struct {
 	Group string
 	On    bool
+	Nodes []string
 }
 
 // Peers replaces the list of nodes that share the duty of promoting.
--- a/internal/upstream/rows.go
+++ b/internal/upstream/rows.go
@@ -172,8 +172,10 @@
 	Samples  []Sample
 	Unmended time.Duration
 	// Paused is when a server was last known to have promised a term above the group's, zero for never in this term.
-	Paused  time.Duration
-	Served  bool
+	Paused time.Duration
+	Served bool
+	// Nodes share the duty of promoting, nil stands for all nodes.
+	Nodes   []string
 	Watched bool
 	// LedAt is when the probe left whose answer last showed that the primary had not been replaced.
 	LedAt time.Duration
@@ -233,6 +235,12 @@
 	return g
 }
 
+// WithNodes returns the row with the nodes among which the duty of promoting is shared, nil for all.
+func (g Group) WithNodes(nodes []string) Group {
+	g.Nodes = nodes
+	return g
+}
+
 // Sample says that at time At the group's log reached at least Position, and its primary then held a majority.
 type Sample struct {
 	At       time.Duration
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -193,7 +193,7 @@
 	case Served:
 		// Callers may use a group before any of its servers is known.
 		g, _ := w.groups.Get(e.Group)
-		w.groups.Put(e.Group, g.WithName(e.Group).WithDuty(e.On, g.Watched))
+		w.groups.Put(e.Group, g.WithName(e.Group).WithDuty(e.On, g.Watched).WithNodes(e.Nodes))
 		w.assign(now, e.Group)
 	}
 }
@@ -201,7 +201,7 @@
 // assign decides whether this node watches a group: those are its best-ranked nodes and those whose callers use it.
 func (w *Watch) assign(now time.Duration, group string) {
 	g, _ := w.groups.Get(group)
-	watched := g.Served || w.rank(group) < Watchers
+	watched := g.Served || g.Nodes == nil && w.rank(group) < Watchers
 	if watched == g.Watched {
 		return
 	}
@@ -221,7 +221,8 @@
 	if !known {
 		s = Server{Name: e.Server, Group: e.Group}
 		g, _ := w.groups.Get(e.Group)
-		w.groups.Put(e.Group, g.WithServer(e.Group, e.Server).WithDuty(g.Served, true))
+		w.groups.Put(e.Group, g.WithServer(e.Group, e.Server))
+		w.assign(now, e.Group)
 	}
 	if known && s.Born != e.Born {
 		w.reborn(now, s)
@@ -392,5 +393,9 @@
 
 // rank is the place of this node in the order in which nodes take up a group's promotion.
 func (w *Watch) rank(group string) int {
+	g, _ := w.groups.Get(group)
+	if g.Nodes != nil {
+		return peer.Rank(w.node, group, g.Nodes)
+	}
 	return peer.Rank(w.node, group, w.peers)
 }
