A lease that was given back keeps other nodes from ordering for 3.2 s

It takes two changes of primary in a row, which false suspicions brought there and a primary that crashes right after its promotion brings anywhere.

The lease's row now says who gave the last order and when that node gave the lease back, on the store's own clock, which comes with every answer about rows. Another node leaves the lease alone for 3.2 s from then; the last actor may take it again at once.

The test fails with the wait taken out.

--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/control"
@@ -121,15 +122,17 @@
 }
 
 func (n *Node) readLease(ctx context.Context, a upstream.ReadLease) (upstream.Lease, error) {
+	sent := n.clock()
 	r, err := n.store.ReadRow(ctx, tableLeases, a.Group)
 	if err != nil {
 		return upstream.Lease{}, err
 	}
-	return decodeLease(r)
+	return decodeLease(r, sent)
 }
 
-func decodeLease(r platform.Row) (upstream.Lease, error) {
-	l := upstream.Lease{Version: r.Version}
+// decodeLease decodes a lease whose row was asked for at sent: the store's clock showed its time then or later.
+func decodeLease(r platform.Row, sent time.Duration) (upstream.Lease, error) {
+	l := upstream.Lease{Version: r.Version}.WithStoreTime(r.StoreTime, sent)
 	if r.Version == 0 {
 		return l, nil
 	}
@@ -143,21 +146,21 @@
 	if err != nil {
 		return upstream.Lease{}, false, err
 	}
+	sent := n.clock()
 	r, taken, err := n.store.Replace(ctx, tableLeases, a.Group, raw, a.Lease.Version)
 	if err != nil {
 		return upstream.Lease{}, false, err
 	}
 	if taken {
 		a.Lease.Version = r.Version
-		return a.Lease, true, nil
+		return a.Lease.WithStoreTime(r.StoreTime, sent), true, nil
 	}
-	l, err := decodeLease(r)
+	l, err := decodeLease(r, sent)
 	return l, false, err
 }
 
 func (n *Node) freeLease(ctx context.Context, a upstream.FreeLease) error {
 	version := a.Lease.Version
-	a.Lease.Holder = ""
 	raw, err := json.Marshal(a.Lease)
 	if err != nil {
 		return err
@@ -166,7 +169,7 @@
 	if err != nil || freed {
 		return err
 	}
-	if l, err := decodeLease(r); err != nil || l.Token != a.Lease.Token {
+	if l, err := decodeLease(r, n.clock()); err != nil || l.Token != a.Lease.Token {
 		return err
 	}
 	_, _, err = n.store.Replace(ctx, tableLeases, a.Group, raw, r.Version)
--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -12,7 +12,9 @@
 
 // Platform is the store and all groups behind it.
 type Platform struct {
-	mu      sync.Mutex
+	mu sync.Mutex
+	// start is where the store's steady clock begins.
+	start   time.Time
 	changed chan struct{}
 	version uint64
 	oldest  uint64
@@ -49,7 +51,7 @@
 // New returns a platform without rows and groups.
 func New() *Platform {
 	return &Platform{
-		changed: make(chan struct{}), rows: map[rowKey]row{}, groups: map[string]*group{}, fences: map[string]uint64{},
+		start: time.Now(), changed: make(chan struct{}), rows: map[rowKey]row{}, groups: map[string]*group{}, fences: map[string]uint64{},
 		calls: map[string]int{},
 	}
 }
@@ -177,7 +179,7 @@
 func (p *Platform) answer(w http.ResponseWriter, status int, rows []wireRow) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "HasMore": false, "RowVersion": p.version, "NowMs": 1})
+	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "HasMore": false, "RowVersion": p.version, "NowMs": time.Since(p.start).Milliseconds()})
 }
 
 func (p *Platform) serveFeed(w http.ResponseWriter, r *http.Request) {
--- a/internal/upstream/appointed_test.go
+++ b/internal/upstream/appointed_test.go
@@ -145,20 +145,20 @@
 	}
 	switch a := a.(type) {
 	case upstream.ReadLease:
-		r.later(upstream.LeaseRead{Group: "g", Lease: r.lease})
+		r.later(upstream.LeaseRead{Group: "g", Lease: r.lease.WithStoreTime(r.now, r.now)})
 	case upstream.TakeLease:
 		if a.Lease.Version != r.lease.Version {
-			r.later(upstream.LeaseRead{Group: "g", Lease: r.lease})
+			r.later(upstream.LeaseRead{Group: "g", Lease: r.lease.WithStoreTime(r.now, r.now)})
 			return
 		}
-		r.lease = a.Lease
+		r.lease = a.Lease.WithStoreTime(r.now, r.now)
 		r.lease.Version++
 		r.pending = append(r.pending, pendingEvent{
 			r.now + r.storeLate + time.Millisecond, upstream.LeaseTaken{Group: "g", Lease: r.lease, Sent: a.Sent},
 		})
 	case upstream.FreeLease:
 		if a.Lease.Version == r.lease.Version {
-			r.lease.Holder = ""
+			r.lease = a.Lease
 			r.lease.Version++
 		}
 	}
@@ -382,6 +382,32 @@
 		r.c.Assert(r.view.Primary, qt.Equals, "a")
 		r.c.Assert(r.lease.Holder, qt.Equals, "")
 	})
+	t.Run("given back by another node that has just promoted is left alone", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.lease = upstream.Lease{Token: 7, Actor: "n1", ActedMS: r.now.Milliseconds(), Version: 3}
+		r.refuses["p"] = true
+		r.run(upstream.LeaseApart - 200*time.Millisecond)
+		assertOrdered(r)
+		r.run(time.Second)
+		assertOrdered(r, "a")
+	})
+	t.Run("given back by this node may be taken again at once", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.lease = upstream.Lease{Token: 7, Actor: "n0", ActedMS: r.now.Milliseconds(), Version: 3}
+		r.refuses["p"] = true
+		r.run(1500 * time.Millisecond)
+		assertOrdered(r, "a")
+	})
+	t.Run("tells when it was given back", func(t *testing.T) {
+		r := newRig(qt.New(t))
+		r.refuses["p"] = true
+		r.run(1500 * time.Millisecond)
+		r.appoint("a")
+		r.run(500 * time.Millisecond)
+		r.c.Assert(r.lease.Actor, qt.Equals, "n0")
+		acted := time.Duration(r.lease.ActedMS) * time.Millisecond
+		r.c.Assert(acted > r.ordered[0].Until-upstream.LeaseTerm && acted <= r.now, qt.IsTrue, qt.Commentf("%v", acted))
+	})
 	t.Run("that an earlier process of this node took is left alone until its order must have taken effect", func(t *testing.T) {
 		r := newRig(qt.New(t))
 		r.lease = upstream.Lease{Token: 7, Holder: "n0", Version: 3}
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -16,6 +16,9 @@
 	LeaseSettle = 1500 * time.Millisecond
 	// LeaseMargin is the part of a lease's term that is not used, for the way to the platform.
 	LeaseMargin = 500 * time.Millisecond
+	// LeaseApart is the least time between the orders of two holders, from when the first gave its lease back. The platform takes
+	// orders of different holders within 3 s for two nodes that act at once.
+	LeaseApart = 3200 * time.Millisecond
 	// noSuccessorPause is how long a group without anybody to promote is left alone, so that a replica can catch up.
 	noSuccessorPause = 600 * time.Millisecond
 	// leaseTimeout bounds the wait for one answer of the store about a lease.
@@ -28,8 +31,14 @@
 	Token  uint64 `json:"token"`
 	Holder string `json:"holder"`
 	// Floor is the least position that the next primary must hold: the log that the last promotion chose ended there.
-	Floor   session.Position `json:"floor"`
-	Version uint64           `json:"-"`
+	Floor session.Position `json:"floor"`
+	// Actor is the node that gave the last order, ActedMS when it gave its lease back, in milliseconds of the store's clock.
+	Actor   string `json:"actor"`
+	ActedMS int64  `json:"acted_ms"`
+	Version uint64 `json:"-"`
+	// StoreTime is what the store's clock showed at ReadAt of this node's own.
+	StoreTime time.Duration `json:"-"`
+	ReadAt    time.Duration `json:"-"`
 	// Until is the end of the holder's right on its own clock, zero for a lease that is not held here.
 	Until time.Duration `json:"-"`
 }
@@ -52,6 +61,35 @@
 	return c
 }
 
+// WithActor returns the lease that records who gives the next order.
+func (c Lease) WithActor(node string) Lease {
+	c.Actor = node
+	return c
+}
+
+// WithStoreTime returns the lease with what the store's clock showed at a moment of this node's own.
+func (c Lease) WithStoreTime(store, at time.Duration) Lease {
+	c.StoreTime, c.ReadAt = store, at
+	return c
+}
+
+// WithoutHolder returns the lease given back now; if the node gave an order under it, other nodes wait from then on.
+func (c Lease) WithoutHolder(now time.Duration) Lease {
+	if c.Actor == c.Holder {
+		c.ActedMS = (c.StoreTime + now - c.ReadAt).Milliseconds()
+	}
+	c.Holder = ""
+	return c
+}
+
+// apart is how long a node other than the last actor has to leave alone a lease that was given back, from its reading on.
+func (c Lease) apart(node string) time.Duration {
+	if c.Actor == "" || c.Actor == node {
+		return 0
+	}
+	return max(0, time.Duration(c.ActedMS)*time.Millisecond+LeaseApart-c.StoreTime)
+}
+
 // WithUntil returns the lease as held here until a moment.
 func (c Lease) WithUntil(at time.Duration) Lease {
 	c.Until = at
@@ -61,7 +99,9 @@
 // seen is the row of a lease in the store as this node last read it.
 type seen struct {
 	lease Lease
+	// since is when this version of it was first read, read when it was read last.
 	since time.Duration
+	read  time.Duration
 }
 
 // ReadLease asks the store who holds a group's lease.
@@ -126,10 +166,11 @@
 func (w *Watch) leaseRead(now time.Duration, e LeaseRead) {
 	s, known := w.leases.Get(e.Group)
 	if !known || s.lease.Version != e.Lease.Version {
-		s = seen{lease: e.Lease, since: now}
-		w.leases.Put(e.Group, s)
-		w.leases.TakeDirty()
+		s.since = now
 	}
+	s.lease, s.read = e.Lease, now
+	w.leases.Put(e.Group, s)
+	w.leases.TakeDirty()
 	if g, ok := w.groups.Get(e.Group); ok {
 		w.groups.Put(e.Group, g.WithFloor(e.Lease.Floor))
 	}
@@ -151,12 +192,13 @@
 	w.out = append(w.out, TakeLease{Group: e.Group, Lease: e.Lease.WithHolder(w.node), Sent: now})
 }
 
-// leaseFree returns when a lease may be taken: at once if nobody holds it, after its term and the orders given in it otherwise.
+// leaseFree returns when a lease may be taken: if nobody holds it, at once or some time after another node's last order; after its
+// term and the orders given in it otherwise.
 // What an earlier process of this node ordered has taken effect soon after this process began.
 func (w *Watch) leaseFree(s seen) time.Duration {
 	switch s.lease.Holder {
 	case "":
-		return 0
+		return s.read + s.lease.apart(w.node)
 	case w.node:
 		return w.began + LeaseSettle
 	default:
@@ -172,7 +214,7 @@
 		return
 	}
 	w.out = append(w.out, TakeLease{
-		Group: p.Group, Lease: l.WithHolder(w.node).WithFloor(p.Promises[best].Position), Sent: now,
+		Group: p.Group, Lease: l.WithHolder(w.node).WithActor(w.node).WithFloor(p.Promises[best].Position), Sent: now,
 	})
 }
 
@@ -186,7 +228,7 @@
 		return
 	}
 	if !ok || p.Stage != StageLeasing || !c.Valid(now) {
-		w.release(Promotion{Group: e.Group, Lease: c})
+		w.release(now, Promotion{Group: e.Group, Lease: c})
 		return
 	}
 	w.note(operator.Record{Kind: operator.KindDuty, Group: e.Group, Cause: "lease_taken"}.
@@ -209,7 +251,7 @@
 	}
 	w.promotions.Delete(g.Name)
 	w.resumeAbove(now, g, 0)
-	w.release(p)
+	w.release(now, p)
 	w.groups.Put(g.Name, g.WithoutSuspicion())
 	return true
 }
@@ -235,15 +277,15 @@
 	w.note(operator.Record{Kind: operator.KindPromotion, Group: p.Group, Term: p.Term, Cause: "no_successor"}.
 		WithEvidence("floor", g.Floor.String()).WithEvidence("promises", fmt.Sprint(p.Promises)))
 	w.resumeAbove(now, g, 0)
-	w.release(p)
+	w.release(now, p)
 	p = p.WithRetry(now + noSuccessorPause)
 	p.Lease = Lease{}
 	w.schedule(p)
 }
 
 // release gives a promotion's lease back, if it holds one.
-func (w *Watch) release(p Promotion) {
+func (w *Watch) release(now time.Duration, p Promotion) {
 	if p.Lease.Until != 0 {
-		w.out = append(w.out, FreeLease{Group: p.Group, Lease: p.Lease})
+		w.out = append(w.out, FreeLease{Group: p.Group, Lease: p.Lease.WithoutHolder(now)})
 	}
 }
--- a/internal/upstream/promote.go
+++ b/internal/upstream/promote.go
@@ -46,7 +46,7 @@
 	if p.Lease.Valid(now) {
 		w.resumeAbove(now, g, 0)
 	}
-	w.release(p)
+	w.release(now, p)
 }
 
 func (w *Watch) schedule(p Promotion) {
@@ -183,7 +183,7 @@
 	}
 	w.schedule(p.WithStage(StageRecording, now+leaseTimeout))
 	w.out = append(w.out, TakeLease{
-		Group: p.Group, Lease: p.Lease.WithHolder(w.node).WithFloor(best.Position), Sent: now,
+		Group: p.Group, Lease: p.Lease.WithHolder(w.node).WithActor(w.node).WithFloor(best.Position), Sent: now,
 	})
 }
 
@@ -248,7 +248,7 @@
 		// A promotion ends the pauses up to its own term. An attempt after a failed one asked for a higher term than the next.
 		w.resumeAbove(now, g, term)
 	}
-	w.release(p)
+	w.release(now, p)
 }
 
 func promotionRecord(g Group, p Promotion, st Status) operator.Record {
