Requests handed to dispatchers: tests of each way to lose one; a refusal after an attempt that may have run does not deny it

Found by the first of them: a read whose dispatcher fell silent and for which no other was left in time was refused as not run, although the silent node may have run it. Such a read is now refused as cut short; nothing of it is kept either way.

--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -247,7 +247,9 @@
 		if q, _ := r.requests.Get(id); q.peer == peer && s.peer == "" && q.statement.Kind == caller.KindRead && q.attempts < maxAttempts {
 			r.stats.SentAgain++
 			r.out = append(r.out, Abandon{Peer: peer, Session: id})
-			r.requeue(now, q)
+			n, _ := r.nodes.Get(peer)
+			r.nodes.Put(peer, n.withAnswer())
+			r.queueAgain(now, q.withLost())
 		}
 	}
 }
@@ -354,11 +356,9 @@
 	return fallback
 }
 
-// requeue has a request handed to another dispatcher.
-func (r *Relay) requeue(now time.Duration, q request) {
-	n, _ := r.nodes.Get(q.peer)
-	r.nodes.Put(q.peer, n.withAnswer())
-	r.requests.Put(q.session, q.withoutPeer())
+// queueAgain has a request handed to another dispatcher.
+func (r *Relay) queueAgain(now time.Duration, q request) {
+	r.requests.Put(q.session, q)
 	r.requests.Wake(q.session, max(now, q.patience))
 	r.queue = append(r.queue, q.session)
 }
@@ -408,11 +408,9 @@
 	case s.peer != "":
 		r.lose(now, s, q)
 	case q.attempts >= maxAttempts:
-		r.refuse(now, q, caller.Refusal{Reason: caller.ReasonOverload, Retry: retryHint, Detail: "no node takes the request"}, false)
+		r.refuse(now, q, q.unplaced(caller.ReasonOverload, "no node takes the request"), false)
 	default:
-		r.requests.Put(q.session, q.withoutPeer())
-		r.requests.Wake(q.session, max(now, q.patience))
-		r.queue = append(r.queue, q.session)
+		r.queueAgain(now, q.withDeclined())
 	}
 }
 
@@ -442,11 +440,9 @@
 		r.refuse(now, q, unknown, false)
 	case kind == caller.KindRead && q.attempts < maxAttempts && now < q.patience:
 		r.stats.SentAgain++
-		r.requests.Put(q.session, q.withoutPeer())
-		r.requests.Wake(q.session, q.patience)
-		r.queue = append(r.queue, q.session)
+		r.queueAgain(now, q.withLost())
 	case kind == caller.KindRead:
-		r.refuse(now, q, caller.Refusal{Reason: caller.ReasonCut, Retry: retryHint}, false)
+		r.refuse(now, q, q.withLost().unplaced(caller.ReasonCut, ""), false)
 	default:
 		r.refuse(now, q, rolledBack, false)
 	}
@@ -458,9 +454,7 @@
 		q, _ := r.requests.Get(id)
 		s, _ := r.sessions.Get(id)
 		if q.peer == "" {
-			r.refuse(now, q, caller.Refusal{
-				Reason: caller.ReasonNoPrimary, Retry: retryHint, Detail: "no node that serves the database can be reached",
-			}, false)
+			r.refuse(now, q, q.unplaced(caller.ReasonNoPrimary, "no node that serves the database can be reached"), false)
 			continue
 		}
 		if n, _ := r.nodes.Get(q.peer); n.phase == linkUp {
--- /dev/null
+++ b/internal/dispatcher/relay_test.go
@@ -0,0 +1,352 @@
+package dispatcher_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"buckthornport.example/buckthornport/internal/caller"
+	"buckthornport.example/buckthornport/internal/dispatcher"
+	"buckthornport.example/buckthornport/pkg/bundle"
+	"buckthornport.example/buckthornport/pkg/session"
+)
+
+var class = bundle.Class{Name: "c", DeadlineMS: 2000, ObjectiveMS: 1000}
+
+// rig is a relay with two dispatchers of one group, driven by hand.
+type rig struct {
+	c     *qt.C
+	relay *dispatcher.Relay
+	now   time.Duration
+	wake  time.Duration
+	out   []dispatcher.Action
+	seq   uint64
+}
+
+func newRig(c *qt.C) *rig {
+	c.Helper()
+	d, err := dispatcher.NewRelay()
+	c.Assert(err, qt.IsNil)
+	r := &rig{c: c, relay: d, now: time.Second}
+	r.step(dispatcher.Assigned{Group: "g", Peers: []string{"near", "far"}})
+	r.step(dispatcher.LinkUp{Peer: "near"}, dispatcher.LinkUp{Peer: "far"})
+	r.step(dispatcher.Opened{Session: 1, Group: "g", Floor: session.Position{Term: 1, Offset: 5}})
+	return r
+}
+
+func (r *rig) step(es ...dispatcher.Event) []dispatcher.Action {
+	r.out, r.wake = r.relay.Step(r.now, es)
+	return r.out
+}
+
+// run lets time pass, with a step whenever the relay wants one.
+func (r *rig) run(d time.Duration) []dispatcher.Action {
+	var all []dispatcher.Action
+	end := r.now + d
+	for r.wake <= end {
+		r.now = max(r.now, r.wake)
+		all = append(all, r.step()...)
+	}
+	r.now = end
+	return all
+}
+
+// ask sends the session's next statement.
+func (r *rig) ask(k caller.Kind) []dispatcher.Action {
+	r.seq++
+	return r.step(caller.Asked{Session: 1, Seq: r.seq, Statement: caller.Statement{Kind: k, Class: class, ID: "id"}})
+}
+
+// answer has a dispatcher answer the session's last statement.
+func (r *rig) answer(peer string, open bool, floor session.Position) []dispatcher.Action {
+	return r.step(dispatcher.Answered{Peer: peer, Session: 1, Seq: r.seq, Open: open, Floor: floor})
+}
+
+// begin opens a transaction at the preferred dispatcher.
+func (r *rig) begin() {
+	r.ask(caller.KindBegin)
+	assertOne[caller.Release](r.c, r.answer("near", true, session.Position{}))
+}
+
+func find[T any](as []dispatcher.Action) []T {
+	var found []T
+	for _, a := range as {
+		if v, ok := a.(T); ok {
+			found = append(found, v)
+		}
+	}
+	return found
+}
+
+func assertOne[T any](c *qt.C, as []dispatcher.Action) T {
+	c.Helper()
+	found := find[T](as)
+	c.Assert(found, qt.HasLen, 1, qt.Commentf("%+v", as))
+	return found[0]
+}
+
+func assertNone[T any](c *qt.C, as []dispatcher.Action) {
+	c.Helper()
+	c.Assert(find[T](as), qt.HasLen, 0)
+}
+
+func assertForwarded(c *qt.C, as []dispatcher.Action, peer string) dispatcher.Forward {
+	c.Helper()
+	f := assertOne[dispatcher.Forward](c, as)
+	c.Assert(f.Peer, qt.Equals, peer)
+	return f
+}
+
+func assertRefused(c *qt.C, as []dispatcher.Action, reason caller.Reason, failed bool) {
+	c.Helper()
+	a := assertOne[caller.Refuse](c, as)
+	c.Assert(a.Refusal.Reason, qt.Equals, reason)
+	c.Assert(a.Failed, qt.Equals, failed)
+}
+
+func TestForwarding(t *testing.T) {
+	t.Run("the nearest dispatcher is preferred", func(t *testing.T) {
+		c := qt.New(t)
+		assertForwarded(c, newRig(c).ask(caller.KindRead), "near")
+	})
+	t.Run("the floor grows with the session's work", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		c.Assert(assertForwarded(c, r.ask(caller.KindWrite), "near").Floor.Offset, qt.Equals, uint64(5))
+		a := assertOne[caller.Release](c, r.answer("near", false, session.Position{Term: 1, Offset: 9}))
+		c.Assert(a.Floor.Offset, qt.Equals, uint64(9))
+		c.Assert(assertForwarded(c, r.ask(caller.KindRead), "near").Floor.Offset, qt.Equals, uint64(9))
+	})
+	t.Run("a transaction stays where it began", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.step(dispatcher.LinkLost{Peer: "near"})
+		assertForwarded(c, r.ask(caller.KindBegin), "far")
+		r.answer("far", true, session.Position{})
+		r.run(time.Second)
+		r.step(dispatcher.LinkUp{Peer: "near"})
+		assertForwarded(c, r.ask(caller.KindRead), "far")
+		r.answer("far", true, session.Position{})
+		assertForwarded(c, r.ask(caller.KindCommit), "far")
+		r.answer("far", false, session.Position{})
+		assertForwarded(c, r.ask(caller.KindRead), "near")
+	})
+	t.Run("a dispatcher that leaves takes no new transaction, and ends the one it has", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.begin()
+		r.step(dispatcher.Leaving{Peer: "near"})
+		assertForwarded(c, r.ask(caller.KindCommit), "near")
+		r.answer("near", false, session.Position{})
+		assertForwarded(c, r.ask(caller.KindRead), "far")
+	})
+	t.Run("what a dispatcher declines goes to another", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.ask(caller.KindWrite)
+		assertForwarded(c, r.step(dispatcher.Declined{Peer: "near", Session: 1, Seq: 1}), "far")
+	})
+	t.Run("what all decline is refused", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.ask(caller.KindWrite)
+		r.step(dispatcher.Declined{Peer: "near", Session: 1, Seq: 1})
+		r.step(dispatcher.Declined{Peer: "far", Session: 1, Seq: 1})
+		assertRefused(c, r.step(dispatcher.Declined{Peer: "near", Session: 1, Seq: 1}), caller.ReasonOverload, false)
+	})
+	t.Run("an answer that comes late goes nowhere", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.ask(caller.KindRead)
+		r.step(dispatcher.LinkLost{Peer: "near"})
+		assertNone[caller.Release](c, r.answer("near", false, session.Position{}))
+		assertOne[caller.Release](c, r.answer("far", false, session.Position{}))
+	})
+	t.Run("a caller that leaves takes its work with it", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.begin()
+		c.Assert(assertOne[dispatcher.Abandon](c, r.step(caller.SessionClosed{Session: 1})).Peer, qt.Equals, "near")
+	})
+}
+
+// TestNoDispatcher guards against requests that wait past the time in which their caller can still ask elsewhere.
+func TestNoDispatcher(t *testing.T) {
+	t.Run("a request is refused after its patience", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.step(dispatcher.LinkLost{Peer: "near"}, dispatcher.LinkLost{Peer: "far"})
+		assertNone[caller.Refuse](c, r.ask(caller.KindWrite))
+		assertRefused(c, r.run(caller.Patience(class)), caller.ReasonNoPrimary, false)
+	})
+	t.Run("a request waits for a link", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.step(dispatcher.LinkLost{Peer: "near"}, dispatcher.LinkLost{Peer: "far"})
+		r.ask(caller.KindWrite)
+		c.Assert(len(find[dispatcher.Connect](r.run(300*time.Millisecond))), qt.Equals, 2)
+		assertForwarded(c, r.step(dispatcher.LinkUp{Peer: "far"}), "far")
+	})
+}
+
+// TestLostDispatcher guards against work that is repeated, or called undone, when the node that ran it is gone.
+func TestLostDispatcher(t *testing.T) {
+	lost := dispatcher.LinkLost{Peer: "near"}
+	t.Run("a read goes to another", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.ask(caller.KindRead)
+		assertForwarded(c, r.step(lost), "far")
+	})
+	t.Run("a write is in doubt", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.ask(caller.KindWrite)
+		as := r.step(lost)
+		assertRefused(c, as, caller.ReasonUnknown, false)
+		assertNone[dispatcher.Forward](c, as)
+	})
+	t.Run("a transaction that begins is rolled back", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.ask(caller.KindBegin)
+		assertRefused(c, r.step(lost), caller.ReasonRolledBack, false)
+	})
+	t.Run("a commit of writes is in doubt", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.begin()
+		r.ask(caller.KindWrite)
+		r.answer("near", true, session.Position{})
+		r.ask(caller.KindCommit)
+		assertRefused(c, r.step(lost), caller.ReasonUnknown, false)
+	})
+	t.Run("a commit of reads is rolled back", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.begin()
+		r.ask(caller.KindCommit)
+		assertRefused(c, r.step(lost), caller.ReasonRolledBack, false)
+	})
+	t.Run("a statement within a transaction fails the transaction", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.begin()
+		r.ask(caller.KindRead)
+		assertRefused(c, r.step(lost), caller.ReasonRolledBack, true)
+	})
+	t.Run("a resting transaction fails with its next statement, and its commit is never done", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.begin()
+		assertNone[caller.Refuse](c, r.step(lost))
+		assertRefused(c, r.ask(caller.KindRead), caller.ReasonRolledBack, true)
+		assertRefused(c, r.ask(caller.KindCommit), caller.ReasonRolledBack, false)
+		assertForwarded(c, r.ask(caller.KindRead), "far")
+	})
+	t.Run("a rollback is done", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.begin()
+		r.ask(caller.KindRollback)
+		c.Assert(assertOne[caller.Complete](c, r.step(lost)).Tag, qt.Equals, "ROLLBACK")
+	})
+}
+
+// TestSilentDispatcher guards against requests that wait for a node which is frozen or dark.
+func TestSilentDispatcher(t *testing.T) {
+	t.Run("is asked, left by reads, and given up", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.ask(caller.KindRead)
+		as := r.run(700 * time.Millisecond)
+		assertOne[dispatcher.Ask](c, as)
+		assertForwarded(c, as, "far")
+		c.Assert(assertOne[dispatcher.Disconnect](c, r.run(time.Second)).Peer, qt.Equals, "near")
+	})
+	t.Run("leaves open whether a read has run that no other can take", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.step(dispatcher.LinkLost{Peer: "far"}, dispatcher.Leaving{Peer: "far"})
+		r.ask(caller.KindRead)
+		assertRefused(c, r.run(caller.Patience(class)), caller.ReasonCut, false)
+	})
+	t.Run("keeps writes until it is given up", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.ask(caller.KindWrite)
+		assertNone[caller.Refuse](c, r.run(time.Second))
+		assertRefused(c, r.run(time.Second), caller.ReasonUnknown, false)
+	})
+	t.Run("that gives a sign of life is waited for", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.ask(caller.KindRead)
+		for range 4 {
+			as := r.run(350 * time.Millisecond)
+			assertOne[dispatcher.Ask](c, as)
+			assertNone[dispatcher.Forward](c, as)
+			r.step(dispatcher.Alive{Peer: "near"})
+		}
+	})
+	t.Run("after a pause of this node's own is asked anew", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.ask(caller.KindRead)
+		r.now += 5 * time.Second / 4
+		assertNone[dispatcher.Forward](c, r.step())
+	})
+}
+
+// TestOneAnswer plays random events and wants exactly one answer to each request, and no write handed over twice.
+func TestOneAnswer(t *testing.T) {
+	c := qt.New(t)
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig(c)
+		kinds := []caller.Kind{caller.KindRead, caller.KindWrite, caller.KindBegin, caller.KindCommit, caller.KindRollback}
+		peers := []string{"near", "far"}
+		waiting, sent := false, 0
+		var kind caller.Kind
+		count := func(as []dispatcher.Action) {
+			for _, f := range find[dispatcher.Forward](as) {
+				sent++
+				if f.Seq != r.seq || sent > 1 && kind != caller.KindRead {
+					t.Fatalf("request %d of kind %d sent %d times, last as %d", r.seq, kind, sent, f.Seq)
+				}
+			}
+			answers := len(find[caller.Release](as)) + len(find[caller.Refuse](as)) + len(find[caller.Complete](as))
+			if answers > 1 || answers == 1 && !waiting {
+				t.Fatalf("answers nobody waits for: %+v", as)
+			}
+			waiting = waiting && answers == 0
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			peer := rapid.SampledFrom(peers).Draw(t, "peer")
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			case 0:
+				if !waiting {
+					kind, waiting, sent = rapid.SampledFrom(kinds).Draw(t, "kind"), true, 0
+					count(r.ask(kind))
+				}
+			case 1:
+				count(r.answer(peer, rapid.Bool().Draw(t, "open"), session.Position{}))
+			case 2:
+				count(r.step(dispatcher.LinkLost{Peer: peer}))
+			case 3:
+				count(r.step(dispatcher.LinkUp{Peer: peer}))
+			case 4:
+				count(r.step(dispatcher.Alive{Peer: peer}))
+			case 5:
+				count(r.step(dispatcher.Leaving{Peer: peer}))
+			default:
+				count(r.run(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond))
+			}
+		}
+		count(r.run(10 * time.Second))
+		if waiting {
+			t.Fatalf("a request of kind %d is left without an answer", kind)
+		}
+	})
+}
--- a/internal/dispatcher/rows.go
+++ b/internal/dispatcher/rows.go
@@ -147,7 +147,9 @@
 	// avoid is the dispatcher that failed or declined the last attempt.
 	avoid    string
 	attempts int
-	traced   bool
+	// ran says that an attempt was given up which may have run.
+	ran    bool
+	traced bool
 }
 
 // withPeer returns the row handed to a dispatcher.
@@ -157,8 +159,22 @@
 	return r
 }
 
-// withoutPeer returns the row to be handed to another dispatcher.
-func (r request) withoutPeer() request {
+// withDeclined returns the row to be handed to another dispatcher, since this one did not take it.
+func (r request) withDeclined() request {
 	r.avoid, r.peer = r.peer, ""
 	return r
 }
+
+// withLost returns the row to be handed to another dispatcher, since this one does not answer.
+func (r request) withLost() request {
+	r.ran = true
+	return r.withDeclined()
+}
+
+// unplaced is the refusal of a request that no dispatcher is left for: for the given reason, unless it may have run.
+func (r request) unplaced(reason caller.Reason, detail string) caller.Refusal {
+	if r.ran {
+		return caller.Refusal{Reason: caller.ReasonCut, Retry: retryHint, Detail: "the nodes that were asked do not answer"}
+	}
+	return caller.Refusal{Reason: reason, Retry: retryHint, Detail: detail}
+}
--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -21,6 +21,12 @@
 	// nodes do not return to a store all at once.
 	feedRetry    = 150 * time.Millisecond
 	feedRetryMax = 800 * time.Millisecond
+	// feedPause is the time after changes in which more of them gather before the next call, since changes come in bursts; it is a
+	// small part of the seconds within which a configuration has to be in force.
+	feedPause = 200 * time.Millisecond
+	// membersEvery is the time between readings of the members: nodes that start are known by gossip sooner, and the table only
+	// brings together parts of a fleet that have lost sight of each other.
+	membersEvery = time.Minute
 	// tableMembers holds a row for each node that ever started, under its address.
 	tableMembers = "buckthornport_members"
 )
@@ -31,13 +37,15 @@
 	// whole takes a reading of the table, change one row of it that changed.
 	whole  func(rs []platform.Row)
 	change func(r platform.Row)
+	// every is the time between readings of a table whose changes are not waited for, zero for one that is followed.
+	every time.Duration
 }
 
 func (n *Node) feeds() []feed {
 	return []feed{
 		{table: platform.TableConfig, whole: each(n.takeConfig), change: n.takeConfig},
 		{table: platform.TableServers, whole: n.takeEntries, change: n.takeEntry},
-		{table: tableMembers, whole: each(n.takeMember), change: n.takeMember},
+		{table: tableMembers, whole: each(n.takeMember), every: membersEvery},
 	}
 }
 
@@ -49,7 +57,8 @@
 	}
 }
 
-// follow reads a table and then waits for its changes, and begins anew when the store has lost track of them.
+// follow reads a table and then waits for its changes, and begins anew when the store has lost track of them, or reads it now and
+// then.
 func (n *Node) follow(f feed) error {
 	if f.table == tableMembers {
 		n.register()
@@ -67,7 +76,8 @@
 			if pause != feedRetry {
 				n.depend("store/"+f.table, "regained", nil)
 			}
-			known, pause = true, feedRetry
+			known, pause = f.every == 0, feedRetry
+			n.sleep(f.every)
 		case errors.Is(err, platform.ErrHistoryGone):
 			n.depend("store/"+f.table, "history_gone", err)
 			known = false
@@ -111,6 +121,9 @@
 	for _, r := range rs.Rows {
 		f.change(r)
 	}
+	if len(rs.Rows) > 0 {
+		n.sleep(feedPause)
+	}
 	return max(version, rs.Version), nil
 }
 
