--- a/internal/fleet/many_test.go
+++ b/internal/fleet/many_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -69,3 +70,93 @@
 		assertNothingBroken(c, d)
 	})
 }
+
+// dispatcher returns a node that serves the group for its zone, and another of the zone that does not.
+func (d *deployment) dispatcher(c *qt.C) (serves, other *Node) {
+	c.Helper()
+	for _, n := range d.nodes {
+		if _, ok := n.laneFor("books"); ok {
+			serves = n
+			break
+		}
+	}
+	for _, n := range d.nodes {
+		if n != serves && n.settings.Zone == serves.settings.Zone {
+			return serves, n
+		}
+	}
+	c.Fatal("no other node in the zone")
+	return nil, nil
+}
+
+// TestDispatcherLost guards against callers whose node goes on asking a dispatcher that is gone, and against their work being lost
+// or done twice meanwhile.
+func TestDispatcherLost(t *testing.T) {
+	t.Run("stopped at once", func(t *testing.T) {
+		c := qt.New(t)
+		d := startManyNodes(c, 9, 12)
+		serves, other := d.dispatcher(c)
+		s := connect(c, other, "tickets")
+		assertAnswers(s, "WRITE a 1", nil, "I")
+		serves.Stop()
+		waitUntil(c, "the link is lost", func() bool { return !other.relay.Up(serves.settings.Peer) })
+		assertAnswers(s, "WRITE b 2", nil, "I")
+		assertAnswers(s, "READ a", []string{"1"}, "I")
+		assertAnswers(s, "READ b", []string{"2"}, "I")
+		c.Assert(d.platform.Log("books"), qt.DeepEquals, []string{"a=1", "b=2"})
+		assertNothingBroken(c, d)
+	})
+	t.Run("in a transaction", func(t *testing.T) {
+		c := qt.New(t)
+		d := startManyNodes(c, 9, 12)
+		serves, other := d.dispatcher(c)
+		s := connect(c, other, "ledger")
+		assertAnswers(s, "BEGIN", nil, "T")
+		assertAnswers(s, "WRITE a 1", nil, "T")
+		serves.Stop()
+		waitUntil(c, "the link is lost", func() bool { return !other.relay.Up(serves.settings.Peer) })
+		_, outcome := s.ask("WRITE a 2")
+		c.Assert(outcome, qt.Equals, "ABORTED")
+		_, outcome = s.ask("COMMIT")
+		c.Assert(outcome, qt.Equals, "ABORTED")
+		assertAnswers(s, "READ a", []string{"none"}, "I")
+	})
+	t.Run("drained", func(t *testing.T) {
+		c := qt.New(t)
+		d := startManyNodes(c, 9, 12)
+		serves, other := d.dispatcher(c)
+		open := connect(c, other, "ledger")
+		assertAnswers(open, "BEGIN", nil, "T")
+		drained := make(chan struct{})
+		go func() {
+			serves.Drain()
+			close(drained)
+		}()
+		s := connect(c, other, "tickets")
+		for i, more := 0, true; more; i++ {
+			_, outcome := s.ask(fmt.Sprintf("WRITE a %d", i))
+			c.Assert(outcome, qt.Equals, "I")
+			if i == 20 {
+				_, outcome = open.ask("COMMIT")
+				c.Assert(outcome, qt.Equals, "I")
+			}
+			select {
+			case <-drained:
+				more = i <= 20
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+		assertNothingBroken(c, d)
+	})
+	t.Run("a prepared statement and a value go along", func(t *testing.T) {
+		c := qt.New(t)
+		d := startManyNodes(c, 9, 12)
+		serves, other := d.dispatcher(c)
+		s := connect(c, other, "ledger")
+		assertAnswers(s, "SET v 1", nil, "I")
+		assertAnswers(s, "PREPARE p WRITE WRITE", nil, "I")
+		assertAnswers(s, "EXECUTE p a 7", nil, "I")
+		serves.Stop()
+		assertAnswers(s, "READ a", []string{"7"}, "I")
+	})
+}
