A node reads the list of the fleet before it decides what it serves

Nodes that start now wait for the list, 2 s at most.

Changes of the servers' list are gathered for 1 s.

--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -21,9 +21,11 @@
 	// nodes do not return to a store all at once.
 	feedRetry    = 150 * time.Millisecond
 	feedRetryMax = 800 * time.Millisecond
-	// feedPause is the time after changes in which more of them gather before the next call, since changes come in bursts; it is a
-	// small part of the seconds within which a configuration has to be in force.
-	feedPause = 200 * time.Millisecond
+	// configPause and serversPause are the times after changes in which more of them gather before the next call, since changes come
+	// in bursts. Both are small parts of the seconds within which a configuration has to be in force, and a server that leaves must
+	// get no new work.
+	configPause  = 200 * time.Millisecond
+	serversPause = time.Second
 	// membersEvery is the time between readings of the members: nodes that start are known by gossip sooner, and the table only
 	// brings together parts of a fleet that have lost sight of each other.
 	membersEvery = time.Minute
@@ -37,15 +39,17 @@
 	// whole takes a reading of the table, change one row of it that changed.
 	whole  func(rs []platform.Row)
 	change func(r platform.Row)
+	// pause is the time after changes in which more of them gather.
+	pause time.Duration
 	// every is the time between readings of a table whose changes are not waited for, zero for one that is followed.
 	every time.Duration
 }
 
 func (n *Node) feeds() []feed {
 	return []feed{
-		{table: platform.TableConfig, whole: each(n.takeConfig), change: n.takeConfig},
-		{table: platform.TableServers, whole: n.takeEntries, change: n.takeEntry},
-		{table: tableMembers, whole: each(n.takeMember), every: membersEvery},
+		{table: platform.TableConfig, whole: each(n.takeConfig), change: n.takeConfig, pause: configPause},
+		{table: platform.TableServers, whole: n.takeEntries, change: n.takeEntry, pause: serversPause},
+		{table: tableMembers, whole: n.takeMembers, every: membersEvery},
 	}
 }
 
@@ -60,9 +64,6 @@
 // follow reads a table and then waits for its changes, and begins anew when the store has lost track of them, or reads it now and
 // then.
 func (n *Node) follow(f feed) error {
-	if f.table == tableMembers {
-		n.register()
-	}
 	version, known, pause := uint64(0), false, feedRetry
 	for n.ctx.Err() == nil {
 		var err error
@@ -122,7 +123,7 @@
 		f.change(r)
 	}
 	if len(rs.Rows) > 0 {
-		n.sleep(feedPause)
+		n.sleep(f.pause)
 	}
 	return max(version, rs.Version), nil
 }
@@ -185,10 +186,18 @@
 	}
 }
 
-func (n *Node) takeMember(r platform.Row) {
-	var m memberRow
-	if err := json.Unmarshal(r.Value, &m); r.Deleted || err != nil {
-		return
+// takeMembers takes note of the nodes that have registered. This one registers after its first reading, so that it knows the fleet
+// before it decides what it serves.
+func (n *Node) takeMembers(rs []platform.Row) {
+	var us []peer.Update
+	for _, r := range rs {
+		var m memberRow
+		if err := json.Unmarshal(r.Value, &m); err != nil {
+			n.keep(operator.Record{Kind: operator.KindMember, Server: r.Key, Cause: "row_unreadable"}.WithEvidence("error", err.Error()))
+			continue
+		}
+		us = append(us, peer.Update{Name: r.Key, Zone: m.Zone, Address: r.Key, Weight: m.Weight})
 	}
-	n.thread.Post(peer.Listed{Updates: []peer.Update{{Name: r.Key, Zone: m.Zone, Address: r.Key, Weight: m.Weight}}})
+	n.thread.Post(peer.Listed{Updates: us})
+	n.registering.Do(func() { go n.register() })
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -59,6 +59,9 @@
 	mu      sync.Mutex
 	lanes   map[string]*traffic.Lane
 	members []peer.Update
+	// met says that the fleet's list was read, or waited for long enough; registering adds this node to it once.
+	met         bool
+	registering sync.Once
 	// serving says which nodes serve each group, tenants are the streams of those that hand requests to this one.
 	serving map[string]serving
 	tenants map[*tenants]bool
@@ -173,6 +176,7 @@
 	for _, f := range n.feeds() {
 		g.Add(func() error { return n.follow(f) }, func(error) { n.stop() })
 	}
+	defer time.AfterFunc(meetWithin, n.meet).Stop()
 	n.log.Info("start", zap.String("zone", n.settings.Zone), zap.String("listen", n.settings.Listen))
 	err := g.Run()
 	n.link.Close()
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/dispatcher"
@@ -80,10 +81,24 @@
 	})
 }
 
+// meetWithin is how long a node that starts waits for the list of the fleet before it decides by the nodes that it knows.
+const meetWithin = 2 * time.Second
+
+// meet ends that wait.
+func (n *Node) meet() {
+	n.mu.Lock()
+	n.met = true
+	n.mu.Unlock()
+	n.shareOut()
+}
+
 // assignAll decides for each group which nodes serve it, and whether this is one of them.
 func (n *Node) assignAll(b bundle.Bundle) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if !n.met {
+		return
+	}
 	for _, g := range b.Groups {
 		names := n.serversOf(g)
 		if slices.Equal(names, n.serving[g.Name].nodes) {
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -50,7 +50,13 @@
 func (n *Node) setMembers(a peer.MembersChanged) {
 	n.mu.Lock()
 	n.members = a.Members
+	n.met = n.met || a.Listed
 	n.mu.Unlock()
+	n.shareOut()
+}
+
+// shareOut decides anew what this node serves, and with how much of each server.
+func (n *Node) shareOut() {
 	n.assignAll(n.routes.Load().bundle)
 	n.limitAll()
 }
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -51,10 +51,12 @@
 	version uint64
 	bundle  []byte
 	changed bool
-	urgent  bool
-	relays  map[uint64]relay
-	random  func(n int) int
-	out     []Action
+	// listed says that the platform's list has been read.
+	listed bool
+	urgent bool
+	relays map[uint64]relay
+	random func(n int) int
+	out    []Action
 }
 
 // rumour is news that is still to be told a number of times.
@@ -150,6 +152,8 @@
 	case Received:
 		m.receive(now, e.Message)
 	case Listed:
+		m.changed = m.changed || !m.listed
+		m.listed = true
 		for _, u := range e.Updates {
 			m.list(now, u)
 		}
