A commit is passed on when a replica that promoters know is seen to hold it

A promotion pauses the replicas that it knows and cannot reach the old primary, which is on the other side of a partition with some proxies. Its commits hang. A server that is started to replace the primary joins it there, receives them, and the primary acknowledges them; the promotion, which does not know that server, drops them.

The primary's word that some replica has received a commit is thus no proof. The lane now waits until a replica that was in the group for longer than a promotion takes has shown a position at or after the commit's, by its answer to a read or to a question, and calls the commit unknown otherwise. The same goes for writes as evidence that the primary leads; servers that have just joined are no witnesses for either.

--- a/internal/caller/appointed_test.go
+++ b/internal/caller/appointed_test.go
@@ -76,10 +76,24 @@
 	return l.settle(l.step(caller.Proven{Proof: p.Proof, Term: term}))
 }
 
+// kept answers the question for a replica that holds the log up to an offset.
+func (l *lane) kept(as []caller.Action, offset uint64) []caller.Action {
+	l.c.Helper()
+	p := only[caller.Prove](l.c, as)
+	return l.settle(l.step(caller.Proven{Proof: p.Proof, Term: 1, End: session.Position{Term: 1, Offset: offset}}))
+}
+
+// write sees a write through whose log entry has that offset.
+func (l *lane) write(id caller.SessionID, offset uint64) {
+	l.c.Helper()
+	assertHeldBack(l, l.reply(only[caller.Send](l.c, l.ask(id, write)), offset))
+	assertReleased(l, l.kept(l.wait(10*time.Millisecond), offset))
+}
+
 // warm opens a connection to a replica, after a write that gives a sample of the primary's position.
 func (l *lane) warm() {
 	l.c.Helper()
-	l.reply(only[caller.Send](l.c, l.ask(1, write)), 21)
+	l.write(1, 21)
 	l.now += 100 * time.Millisecond
 	l.reply(only[caller.Send](l.c, l.ask(99, agedRead)), 21)
 	l.now += 100 * time.Millisecond
@@ -186,9 +200,9 @@
 }
 
 func TestEvidenceFromWrites(t *testing.T) {
-	t.Run("a write that a replica has received shows who leads", func(t *testing.T) {
+	t.Run("a write that a replica holds shows who leads", func(t *testing.T) {
 		l := newLane(qt.New(t))
-		assertReleased(l, l.reply(only[caller.Send](l.c, l.ask(1, write)), 21))
+		l.write(1, 21)
 		as := l.ask(2, freshRead)
 		l.c.Assert(has[caller.Prove](as), qt.IsFalse)
 		assertReleased(l, l.reply(only[caller.Send](l.c, as), 21))
@@ -216,7 +230,7 @@
 	t.Run("show the session its own work", func(t *testing.T) {
 		l := newLane(qt.New(t))
 		l.warm()
-		l.reply(only[caller.Send](l.c, l.ask(2, write)), 25)
+		l.write(2, 25)
 		l.now += 200 * time.Millisecond
 		s := only[caller.Send](l.c, l.ask(2, agedRead))
 		l.c.Assert(s.Need.Offset, qt.Equals, uint64(25))
@@ -225,7 +239,7 @@
 	})
 	t.Run("go to the primary when no sample is young enough", func(t *testing.T) {
 		l := newLane(qt.New(t))
-		l.reply(only[caller.Send](l.c, l.ask(1, write)), 21)
+		l.write(1, 21)
 		l.now += 1600 * time.Millisecond
 		s := only[caller.Send](l.c, l.ask(2, agedRead))
 		l.c.Assert(s.Need.IsZero(), qt.IsTrue)
@@ -233,7 +247,7 @@
 	})
 	t.Run("take the primary when no connection to a replica opens", func(t *testing.T) {
 		l := newLane(qt.New(t))
-		l.reply(only[caller.Send](l.c, l.ask(1, write)), 21)
+		l.write(1, 21)
 		l.now += 100 * time.Millisecond
 		l.step(caller.SessionOpened{Session: 2, HasFloor: true})
 		as, wake := l.lane.Step(l.now, []caller.Event{caller.Asked{Session: 2, Seq: 1, Statement: agedRead}})
@@ -355,6 +369,59 @@
 	})
 }
 
+// TestAcknowledgedCommits guards against commits that only a server holds which joined during a promotion, and which the promotion
+// then drops.
+func TestAcknowledgedCommits(t *testing.T) {
+	t.Run("wait until a replica is seen to hold them", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		assertHeldBack(l, l.reply(only[caller.Send](l.c, l.ask(1, write)), 21))
+		assertHeldBack(l, l.kept(l.wait(10*time.Millisecond), 20))
+		assertReleased(l, l.kept(l.wait(30*time.Millisecond), 21))
+	})
+	t.Run("are shown to be held by a replica's answer to a read", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		l.warm()
+		assertHeldBack(l, l.reply(only[caller.Send](l.c, l.ask(1, write)), 30))
+		as := l.reply(only[caller.Send](l.c, l.ask(2, agedRead)), 30)
+		var released []caller.SessionID
+		for _, a := range as {
+			if r, ok := a.(caller.Release); ok {
+				released = append(released, r.Session)
+			}
+		}
+		l.c.Assert(released, qt.ContentEquals, []caller.SessionID{1, 2})
+	})
+	t.Run("are in doubt when a paused replica lacks them", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		assertHeldBack(l, l.reply(only[caller.Send](l.c, l.ask(1, write)), 21))
+		p := only[caller.Prove](l.c, l.wait(10*time.Millisecond))
+		l.step(caller.Proven{Proof: p.Proof, Term: 1, End: session.Position{Term: 1, Offset: 20}, Paused: true})
+		l.wait(500 * time.Millisecond)
+		l.c.Assert(only[caller.Refuse](l.c, l.wait(600*time.Millisecond)).Refusal.Reason, qt.Equals, caller.ReasonUnknown)
+	})
+	t.Run("are in doubt when the primary is replaced before", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		assertHeldBack(l, l.reply(only[caller.Send](l.c, l.ask(1, write)), 21))
+		v := l.view
+		v.Term, v.Primary = 2, "r0"
+		l.c.Assert(only[caller.Refuse](l.c, l.step(caller.Viewed{View: v})).Refusal.Reason, qt.Equals, caller.ReasonUnknown)
+	})
+	t.Run("are not shown to be held by a server that has just joined", func(t *testing.T) {
+		l := newLane(qt.New(t))
+		l.view.Servers = append(l.view.Servers, upstream.ServerView{Name: "new", Alive: true, Term: 1, Joined: true})
+		l.step(caller.Viewed{View: l.view})
+		assertHeldBack(l, l.reply(only[caller.Send](l.c, l.ask(1, write)), 21))
+		for _, as := range [][]caller.Action{l.wait(10 * time.Millisecond), l.wait(500 * time.Millisecond), l.wait(100 * time.Millisecond)} {
+			for _, a := range as {
+				if p, ok := a.(caller.Prove); ok {
+					l.c.Assert(p.Server, qt.Not(qt.Equals), "new")
+					l.step(caller.ProofFailed{Proof: p.Proof})
+				}
+			}
+		}
+	})
+}
+
 func TestDeclinedInATransaction(t *testing.T) {
 	l := newLane(qt.New(t))
 	as := l.ask(1, begin)
--- a/internal/caller/kind.go
+++ b/internal/caller/kind.go
@@ -20,6 +20,9 @@
 	maxBehindDoublings = 4
 	// declinedFor is how long requests keep away from a server that declined one.
 	declinedFor = 25 * time.Millisecond
+	// keepPatience is how long a commit waits for a replica's answer to a read to show that the replica holds it, before a replica
+	// is asked.
+	keepPatience = 5 * time.Millisecond
 	// slowAfter is how long a server may take before its answer is missed; nearly all work is shorter.
 	slowAfter = 400 * time.Millisecond
 	// hearEvery is the least time between two reports to control about one server.
@@ -39,7 +42,8 @@
 	Leads func(r Request) bool
 	// Witness names the server that can give evidence about the primary; try counts questions that failed before.
 	Witness func(v upstream.GroupView, try int) string
-	// Replicated says that a primary acknowledges a commit only when a replica has received it, which shows that it led.
+	// Replicated says that a primary acknowledges a commit only when a replica has received it. That may be one that joined the
+	// group during a promotion, which then knows nothing of the commit, so that another has to be seen to hold it.
 	Replicated bool
 	// Serves reports whether a server other than the primary may run a read, and the position that its answer must show.
 	Serves func(q Query, s Server) (session.Position, bool)
@@ -81,14 +85,10 @@
 	}
 }
 
-// nearestReplica names a replica that answers, the nearest first and then the others in turn.
+// nearestReplica names a replica that answers, the nearest first and then the others in turn. One that joined lately is no
+// witness while there are others: a promotion under way may not have paused it.
 func nearestReplica(v upstream.GroupView, nearness func(zone string) int, try int) string {
-	var rs []upstream.ServerView
-	for _, s := range v.Servers {
-		if s.Name != v.Primary && s.Alive {
-			rs = append(rs, s)
-		}
-	}
+	rs := slices.DeleteFunc(witnesses(v), func(s upstream.ServerView) bool { return !s.Alive })
 	if len(rs) == 0 {
 		return ""
 	}
@@ -98,6 +98,35 @@
 	return rs[try%len(rs)].Name
 }
 
+// witnesses lists the replicas that every promotion under way knows of, or all where all are new.
+func witnesses(v upstream.GroupView) []upstream.ServerView {
+	rs := slices.DeleteFunc(slices.Clone(v.Servers), func(s upstream.ServerView) bool { return s.Name == v.Primary })
+	if old := slices.DeleteFunc(slices.Clone(rs), func(s upstream.ServerView) bool { return s.Joined }); len(old) > 0 {
+		return old
+	}
+	return rs
+}
+
+// keep takes note that a replica holds the group's log up to a position, and answers the commits that waited for it.
+func (l *Lane) keep(now time.Duration, server string, p session.Position) {
+	known := slices.ContainsFunc(witnesses(l.view), func(s upstream.ServerView) bool { return s.Name == server })
+	if !known || p.Term != l.view.Term || l.kept.Covers(p) {
+		return
+	}
+	l.kept = p
+	waits := false
+	for _, id := range l.proving {
+		if r, ok := l.requests.Get(id); ok && r.Keep && p.Covers(r.Position) {
+			// The replica has received what was sent to the primary at that time, so that it was not paused yet.
+			l.lead(r.Started)
+			waits = true
+		}
+	}
+	if waits {
+		l.releaseLed(now)
+	}
+}
+
 // provenYoung wants a replica whose applied log is proven young enough, and long enough for the session.
 func provenYoung(q Query, s Server) (session.Position, bool) {
 	v := s.View
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -8,6 +8,7 @@
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/table"
 	"buckthornport.example/buckthornport/internal/upstream"
+	"buckthornport.example/buckthornport/pkg/session"
 )
 
 // Lane holds the tables of one database's traffic on one node, and the systems that run over them each tick.
@@ -18,6 +19,8 @@
 	kind    GroupKind
 	samples []upstream.Sample
 	led     time.Duration
+	// kept is how far a replica is known to hold the log of this term.
+	kept session.Position
 	// paused is when a replica was last known to follow nobody, zero for never in this term.
 	paused    time.Duration
 	witnessed int
@@ -294,6 +297,7 @@
 	if v.Term > l.view.Term {
 		l.samples = nil
 		l.led = 0
+		l.kept = session.Position{}
 		l.paused = 0
 		l.retryLed()
 	}
--- a/internal/caller/proof.go
+++ b/internal/caller/proof.go
@@ -82,6 +82,9 @@
 		l.stats.StrayMessages++
 		return
 	}
+	if l.kind.Replicated {
+		l.keep(now, p.server, e.End)
+	}
 	if now-p.sent > upstream.EvidenceTTL && l.kind.Settles || e.Term < l.view.Term || e.Term > l.view.Term && !l.kind.Settles {
 		l.proofFailed(now, e.Proof)
 		return
@@ -94,6 +97,7 @@
 	if !l.kind.Settles {
 		l.lead(p.sent)
 		l.releaseLed(now)
+		l.askAgain(now, e.Proof)
 		return
 	}
 	ids := l.proving
@@ -128,6 +132,9 @@
 		r, ok := l.requests.Get(id)
 		switch {
 		case !ok || r.Lead && r.Phase == PhaseRunning && l.ledAt(r.Arrived):
+		case r.Keep && l.kept.Covers(r.Position):
+			s, _ := l.sessions.Get(r.Session)
+			l.answer(now, s, r, Replied{Position: r.Position})
 		case r.Lead && r.Phase == PhaseProving && l.ledAt(r.Arrived):
 			s, _ := l.sessions.Get(r.Session)
 			l.answer(now, s, r, Replied{Position: r.Position})
@@ -137,6 +144,17 @@
 	}
 }
 
+// askAgain has the commits asked about once more that the answered question was to cover, and did not.
+func (l *Lane) askAgain(now time.Duration, proof uint64) {
+	for _, id := range l.proving {
+		if r, ok := l.requests.Get(id); ok && r.Keep && r.Proof == proof {
+			l.requests.Put(id, r.WithProof(0))
+			l.witnessed++
+			l.proveAt = max(l.proveAt, now+ProofBackoff)
+		}
+	}
+}
+
 // retryLed sends again what a replaced primary answered and nobody vouched for.
 func (l *Lane) retryLed() {
 	ids := l.proving
@@ -145,6 +163,8 @@
 		r, ok := l.requests.Get(id)
 		switch {
 		case !ok || r.Lead && r.Phase == PhaseRunning:
+		case r.Keep:
+			l.refuse(r, Refusal{Reason: ReasonUnknown, Detail: "the primary was replaced before a replica was seen to hold the commit"})
 		case r.Lead && r.Statement.Kind == KindRead:
 			r.Avoid = r.Server
 			l.requeue(r)
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -29,6 +29,9 @@
 		l.sample(upstream.Sample{At: r.Started, Position: e.Position})
 	}
 	l.servers.Put(c.Server, row)
+	if l.kind.Replicated && c.Server != l.view.Primary {
+		l.keep(now, c.Server, e.Position)
+	}
 	if known {
 		l.hear(c.Server, r.Started)
 	}
@@ -53,11 +56,12 @@
 		l.refuse(r, Refusal{Reason: ReasonUnknown, Detail: "committed while the primary was being replaced"})
 		return
 	}
-	if wrote && l.kind.Replicated && c.Server == l.view.Primary {
-		l.lead(r.Started)
-		l.releaseLed(now)
-	}
 	switch {
+	case wrote && l.kind.Replicated && !l.kept.Covers(e.Position):
+		l.requests.Put(r.ID, r.WithKeep(e.Position))
+		l.requests.Wake(r.ID, r.Deadline)
+		l.proving = append(l.proving, r.ID)
+		l.proveAt = max(l.proveAt, now+keepPatience)
 	case r.Lead && !l.ledAt(r.Arrived):
 		l.requests.Put(r.ID, r.WithPhase(PhaseProving))
 		l.requests.Wake(r.ID, r.Deadline)
--- a/internal/caller/rows.go
+++ b/internal/caller/rows.go
@@ -205,8 +205,19 @@
 	Traced bool
 	// Held says that the answer goes to its caller only by the lane's word.
 	Held bool
-	// Lead says that the answer waits for evidence that the primary led when the request arrived.
+	// Lead says that the answer waits for evidence that the primary led when the request arrived, Keep that it waits until a
+	// replica is known to hold what the request committed.
 	Lead bool
+	Keep bool
+}
+
+// WithKeep returns the row of a request whose commit ends at p, answered but not yet known to be held by a replica.
+func (r Request) WithKeep(p session.Position) Request {
+	r.Phase = PhaseProving
+	r.Position = p
+	r.Keep = true
+	r.Proof = 0
+	return r
 }
 
 // WithHeld returns the row of a request whose answer is kept back, or not, until the lane has taken note of it.
--- a/internal/upstream/limits.go
+++ b/internal/upstream/limits.go
@@ -33,6 +33,11 @@
 	// PauseLimit is the lateness of a tick after which the node distrusts its own evidence.
 	PauseLimit = 150 * time.Millisecond
 
+	// JoinSettle is how long a server that joined its group is no witness for what the group holds: a promotion that began before it
+	// came does not pause it, and is over within a lease's term and its order's effect.
+	JoinSettle = LeaseTerm + LeaseSettle + time.Second
+	// meetWithin is how long after its start a node takes the servers that it hears of for old ones.
+	meetWithin = 2 * time.Second
 	// alertFor is how long a group is probed at the shorter interval after a write stalled.
 	alertFor = time.Second
 
--- a/internal/upstream/messages.go
+++ b/internal/upstream/messages.go
@@ -235,6 +235,8 @@
 	Proven   bool
 	Alive    bool
 	Leaving  bool
+	// Joined says that the server came to its group so lately that a promotion under way may not know of it.
+	Joined bool
 }
 
 // Server returns the picture of the named server, and whether there is one.
--- a/internal/upstream/rows.go
+++ b/internal/upstream/rows.go
@@ -47,6 +47,8 @@
 	FirstMiss time.Duration
 	Followed  time.Duration
 	Born      int64
+	// Joined is when the server came to its group, zero for one that was there when the node started.
+	Joined time.Duration
 	// Doubt is since when the server owes an answer for longer than usual, zero while it does not.
 	Doubt time.Duration
 	// Asked is when the probe left that brought Status.
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -64,6 +64,7 @@
 			Name: s.Name, Zone: s.Zone, Address: s.Address, Role: s.Status.Role, Term: s.Status.Term,
 			Applied: s.Status.Applied, ProvenAt: at, Proven: ok,
 			Alive: s.Known && s.Refusals == 0 && now-s.Heard <= w.kind.Times.AliveFor, Leaving: s.Leaves(),
+			Joined: s.Joined != 0 && now-s.Joined < JoinSettle,
 		})
 	}
 	return v
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -228,6 +228,9 @@
 		w.reborn(now, s)
 		s = Server{Name: e.Server, Group: e.Group}
 	}
+	if fresh := !known || s.Born != e.Born; fresh && now > w.began+meetWithin {
+		s.Joined = now
+	}
 	s.Zone = e.Zone
 	s.Address = e.Address
 	s.Born = e.Born
