The way to a peer is closed when nothing goes over it for 3 s

A node pings each other one in turn, so that each of 80 nodes held 79 connections out and as many in, with their buffers; at 3,400 nodes that would be past the 32 MB that control may take.

--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -24,6 +24,9 @@
 	writeTimeout    = 2 * time.Second
 	maxMessageBytes = 8 << 20
 	queueLength     = 64
+	// lineIdle is how long the way to a peer is kept without messages. A node of a large fleet pings each other one now and then, so
+	// that ways kept for longer would grow with the fleet.
+	lineIdle = 3 * time.Second
 )
 
 // Link sends and receives messages; a message that cannot be sent in time is dropped, as the protocol allows.
@@ -150,12 +153,12 @@
 // Send queues a message; it never blocks.
 func (l *Link) Send(a peer.Send) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	n, ok := l.lines[a.Address]
 	if !ok && !l.closed {
 		n = newLine(l, a.Address)
 		l.lines[a.Address] = n
 	}
-	l.mu.Unlock()
 	if n == nil {
 		return
 	}
@@ -195,7 +198,18 @@
 	return n
 }
 
-// run sends what is queued; after a failure the connection is made anew for the next message.
+// end forgets the line unless something was queued meanwhile, and reports whether it did.
+func (n *line) end() bool {
+	n.link.mu.Lock()
+	defer n.link.mu.Unlock()
+	if len(n.queue) > 0 {
+		return false
+	}
+	delete(n.link.lines, n.address)
+	return true
+}
+
+// run sends what is queued until nothing comes for a while; after a failure the connection is made anew for the next message.
 func (n *line) run() {
 	var stream net.Conn
 	var closeAll func()
@@ -204,11 +218,19 @@
 			closeAll()
 		}
 	}()
+	idle := time.NewTimer(lineIdle)
+	defer idle.Stop()
 	for {
 		select {
 		case <-n.ctx.Done():
 			return
+		case <-idle.C:
+			if n.end() {
+				n.stop()
+				return
+			}
 		case a := <-n.queue:
+			idle.Reset(lineIdle)
 			var err error
 			if stream == nil {
 				if stream, closeAll, err = n.dial(); err != nil {
