A request that its only dispatcher declines is offered to it again; explain tells of requests that were handed on

After a restart of all nodes a request was declined three times within 17 ms by the one dispatcher that was there, which did not yet know its groups, and refused; it could have waited for 280 ms. A dispatcher that declines is now left alone for 50 ms, for that group alone, and the request waits for as long as its objective allows.

--- a/internal/dispatcher/messages.go
+++ b/internal/dispatcher/messages.go
@@ -153,8 +153,10 @@
 	retryMost  = 3200 * time.Millisecond
 	// answerMargin is how much longer than the request's own deadline its answer may take to come back.
 	answerMargin = 300 * time.Millisecond
-	// maxAttempts bounds how many dispatchers a read is handed to.
+	// maxAttempts bounds how many dispatchers a read is handed to that may have run it.
 	maxAttempts = 3
+	// declinedFor is how long a node that declined a request is given none of the same group.
+	declinedFor = 50 * time.Millisecond
 	// maxOpening bounds the links that are opened at once for one request.
 	maxOpening = 2
 	// ownPause is the lateness of a step after which silence is this node's own.
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -343,6 +343,7 @@
 	for _, p := range g.peers {
 		n, _ := r.nodes.Get(p)
 		switch {
+		case now < g.declined[p]:
 		case n.usable() && p != q.avoid:
 			return p
 		case n.usable():
@@ -395,7 +396,8 @@
 	r.out = append(r.out, caller.Release{Session: e.Session, Seq: q.seq, Floor: s.floor})
 }
 
-// declined hands a request that its dispatcher did not take to another.
+// declined hands a request that its dispatcher did not take to another, or to the same a little later: a node that has just
+// started, or differs about the members, takes it soon.
 func (r *Relay) declined(now time.Duration, e Declined) {
 	q, ok := r.settle(now, e.Peer, e.Session, e.Seq)
 	if !ok {
@@ -404,14 +406,14 @@
 	r.stats.Declined++
 	r.tell(now, q, CauseDeclined)
 	s, _ := r.sessions.Get(e.Session)
-	switch {
-	case s.peer != "":
+	if s.peer != "" {
 		r.lose(now, s, q)
-	case q.attempts >= maxAttempts:
-		r.refuse(now, q, q.unplaced(caller.ReasonOverload, "no node takes the request"), false)
-	default:
-		r.queueAgain(now, q.withDeclined())
+		return
 	}
+	g, _ := r.groups.Get(s.group)
+	r.groups.Put(s.group, g.withDeclined(e.Peer, now+declinedFor))
+	r.queueAgain(now, q.withDeclined())
+	r.requests.Wake(q.session, max(now, min(q.patience, now+declinedFor)))
 }
 
 // lose settles a request whose dispatcher is gone: what only read may be handed to another, what may have committed is in doubt.
@@ -453,6 +455,10 @@
 	for _, id := range r.requests.TakeDue(now) {
 		q, _ := r.requests.Get(id)
 		s, _ := r.sessions.Get(id)
+		if q.peer == "" && now < q.patience {
+			r.requests.Wake(id, q.patience)
+			continue
+		}
 		if q.peer == "" {
 			r.refuse(now, q, q.unplaced(caller.ReasonNoPrimary, "no node that serves the database can be reached"), false)
 			continue
--- a/internal/dispatcher/rows.go
+++ b/internal/dispatcher/rows.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"maps"
 	"time"
 
 	"buckthornport.example/buckthornport/internal/caller"
@@ -10,6 +11,17 @@
 // group is the row of a database group that other nodes serve; peers are those nodes, the preferred one first.
 type group struct {
 	peers []string
+	// declined is until when a node that has declined a request of the group is left alone.
+	declined map[string]time.Duration
+}
+
+// withDeclined returns the row after a node declined a request.
+func (g group) withDeclined(peer string, until time.Duration) group {
+	next := map[string]time.Duration{}
+	maps.Copy(next, g.declined)
+	next[peer] = until
+	g.declined = next
+	return g
 }
 
 // linkPhase is the state of the link to a dispatcher.
@@ -162,13 +174,15 @@
 // withDeclined returns the row to be handed to another dispatcher, since this one did not take it.
 func (r request) withDeclined() request {
 	r.avoid, r.peer = r.peer, ""
+	r.attempts--
 	return r
 }
 
 // withLost returns the row to be handed to another dispatcher, since this one does not answer.
 func (r request) withLost() request {
 	r.ran = true
-	return r.withDeclined()
+	r.avoid, r.peer = r.peer, ""
+	return r
 }
 
 // unplaced is the refusal of a request that no dispatcher is left for: for the given reason, unless it may have run.
--- a/internal/operator/logs.go
+++ b/internal/operator/logs.go
@@ -113,6 +113,14 @@
 // requestCause says what the last record of a request means.
 func requestCause(r Record) string {
 	switch {
+	case r.Cause == "not_forwarded" && r.value("reason") == "no_primary":
+		return "no node that serves the group could be reached, or would take it, within the time that the request could wait; " +
+			"it did not run."
+	case r.Cause == "not_forwarded" && r.value("reason") == "unknown":
+		return fmt.Sprintf("%s had been given the request and was lost before it answered; whether the work was committed cannot "+
+			"be known, and it must not be done again without looking.", r.value("dispatcher"))
+	case r.Cause == "not_forwarded" && r.value("reason") == "cut":
+		return "the nodes that were given the read did not answer; nothing was changed by it."
 	case r.Cause == "outcome_unknown" && r.value("reason") == "unknown":
 		return fmt.Sprintf("%s had been given the request and its answer never came; whether the work was committed cannot be "+
 			"known, and it must not be done again without looking.", r.Server)
--- a/internal/peerlink/jobs.go
+++ b/internal/peerlink/jobs.go
@@ -112,7 +112,7 @@
 	return &jobStream{stream: stream, r: r, queue: make(chan *Relayed, jobQueue), counted: counted, ended: make(chan struct{})}
 }
 
-// send queues a message.
+// send queues a message; a peer that has fallen too far behind is given up.
 func (s *jobStream) send(m *Relayed) bool {
 	select {
 	case <-s.ended:
@@ -123,6 +123,7 @@
 	case s.queue <- m:
 		return true
 	default:
+		s.close()
 		return false
 	}
 }
