Without any dispatcher requests are refused at once; a dispatcher takes shares for the part of the fleet that it sees

A group that has had no usable dispatcher for 1 s has its requests refused at once, with word when to come back, until a link is open. A dispatcher's share is cut down by the part of the fleet that it sees.

--- a/internal/caller/appointed_test.go
+++ b/internal/caller/appointed_test.go
@@ -411,8 +411,8 @@
 		l.view.Servers = append(l.view.Servers, upstream.ServerView{Name: "new", Alive: true, Term: 1, Joined: true})
 		l.step(caller.Viewed{View: l.view})
 		assertHeldBack(l, l.reply(only[caller.Send](l.c, l.ask(1, write)), 21))
-		for _, as := range [][]caller.Action{l.wait(10 * time.Millisecond), l.wait(500 * time.Millisecond), l.wait(100 * time.Millisecond)} {
-			for _, a := range as {
+		for _, d := range []time.Duration{10, 500, 100} {
+			for _, a := range l.wait(d * time.Millisecond) {
 				if p, ok := a.(caller.Prove); ok {
 					l.c.Assert(p.Server, qt.Not(qt.Equals), "new")
 					l.step(caller.ProofFailed{Proof: p.Proof})
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -151,7 +151,9 @@
 
 // assign takes up who serves a group, and connects to the preferred node ahead of requests.
 func (r *Relay) assign(now time.Duration, e Assigned) {
-	r.groups.Put(e.Group, group{peers: e.Peers})
+	g, _ := r.groups.Get(e.Group)
+	g.peers = e.Peers
+	r.groups.Put(e.Group, g)
 	for _, p := range e.Peers {
 		if _, ok := r.nodes.Get(p); !ok {
 			r.nodes.Put(p, node{address: p})
@@ -177,6 +179,11 @@
 	if n, ok := r.nodes.Get(peer); ok {
 		r.nodes.Put(peer, n.withUp(now))
 		r.nodes.Wake(peer, table.Never)
+		for _, k := range r.groups.Keys() {
+			if g, _ := r.groups.Get(k); slices.Contains(g.peers, peer) {
+				r.groups.Put(k, g.withWithout(0))
+			}
+		}
 	}
 }
 
@@ -326,14 +333,34 @@
 			continue
 		}
 		s, _ := r.sessions.Get(id)
-		if p := r.choose(now, s, q); p != "" {
+		p := r.choose(now, s, q)
+		switch {
+		case p != "":
 			r.forward(now, s, q, p)
-		} else {
+		case r.hopeless(now, s.group):
+			r.refuse(now, q, q.unplaced(caller.ReasonNoPrimary, unreachable), false)
+		default:
 			r.queue = append(r.queue, id)
 		}
 	}
 }
 
+// unreachable says why a request was refused that found no dispatcher.
+const unreachable = "no node that serves the database can be reached"
+
+// hopeless reports whether a group has been without a usable dispatcher for so long that waiting for one is no use.
+func (r *Relay) hopeless(now time.Duration, name string) bool {
+	g, _ := r.groups.Get(name)
+	if slices.ContainsFunc(g.peers, func(p string) bool { n, _ := r.nodes.Get(p); return n.usable() }) {
+		return false
+	}
+	if g.without == 0 {
+		r.groups.Put(name, g.withWithout(now))
+		return false
+	}
+	return now-g.without >= withoutFor
+}
+
 // choose returns the dispatcher for a request, or "" while none can be used. The one that failed it last is taken only where there
 // is no other.
 func (r *Relay) choose(now time.Duration, s callerSession, q request) string {
@@ -460,7 +487,7 @@
 			continue
 		}
 		if q.peer == "" {
-			r.refuse(now, q, q.unplaced(caller.ReasonNoPrimary, "no node that serves the database can be reached"), false)
+			r.refuse(now, q, q.unplaced(caller.ReasonNoPrimary, unreachable), false)
 			continue
 		}
 		if n, _ := r.nodes.Get(q.peer); n.phase == linkUp {
--- a/internal/dispatcher/relay_test.go
+++ b/internal/dispatcher/relay_test.go
@@ -220,6 +220,16 @@
 		assertNone[caller.Refuse](c, r.ask(caller.KindWrite))
 		assertRefused(c, r.run(caller.Patience(class)), caller.ReasonNoPrimary, false)
 	})
+	t.Run("requests are refused at once when there was none for a while, until one is back", func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c)
+		r.step(dispatcher.LinkLost{Peer: "near"}, dispatcher.LinkLost{Peer: "far"})
+		r.ask(caller.KindWrite)
+		r.run(1100 * time.Millisecond)
+		assertRefused(c, r.ask(caller.KindWrite), caller.ReasonNoPrimary, false)
+		r.step(dispatcher.LinkUp{Peer: "far"})
+		assertForwarded(c, r.ask(caller.KindWrite), "far")
+	})
 	t.Run("a request waits for a link", func(t *testing.T) {
 		c := qt.New(t)
 		r := newRig(c)
@@ -339,53 +349,66 @@
 	})
 }
 
+// player plays random events against one session, and watches over its one request.
+type player struct {
+	*rig
+	kind    caller.Kind
+	waiting bool
+	sent    int
+}
+
+// take counts what becomes of the request.
+func (p *player) take(t *rapid.T, as []dispatcher.Action) {
+	for _, f := range find[dispatcher.Forward](as) {
+		p.sent++
+		if f.Seq != p.seq || p.sent > 1 && p.kind != caller.KindRead {
+			t.Fatalf("request %d of kind %d sent %d times, last as %d", p.seq, p.kind, p.sent, f.Seq)
+		}
+	}
+	answers := len(find[caller.Release](as)) + len(find[caller.Refuse](as)) + len(find[caller.Complete](as))
+	if answers > 1 || answers == 1 && !p.waiting {
+		t.Fatalf("answers nobody waits for: %+v", as)
+	}
+	p.waiting = p.waiting && answers == 0
+}
+
+// play lets one random event happen.
+func (p *player) play(t *rapid.T) []dispatcher.Action {
+	peer := rapid.SampledFrom([]string{"near", "far"}).Draw(t, "peer")
+	switch rapid.IntRange(0, 6).Draw(t, "event") {
+	case 0:
+		if p.waiting {
+			return nil
+		}
+		kinds := []caller.Kind{caller.KindRead, caller.KindWrite, caller.KindBegin, caller.KindCommit, caller.KindRollback}
+		p.kind, p.waiting, p.sent = rapid.SampledFrom(kinds).Draw(t, "kind"), true, 0
+		return p.ask(p.kind)
+	case 1:
+		return p.answer(peer, rapid.Bool().Draw(t, "open"), session.Position{})
+	case 2:
+		return p.step(dispatcher.LinkLost{Peer: peer})
+	case 3:
+		return p.step(dispatcher.LinkUp{Peer: peer})
+	case 4:
+		return p.step(dispatcher.Alive{Peer: peer})
+	case 5:
+		return p.step(dispatcher.Leaving{Peer: peer})
+	default:
+		return p.run(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+	}
+}
+
 // TestOneAnswer plays random events and wants exactly one answer to each request, and no write handed over twice.
 func TestOneAnswer(t *testing.T) {
 	c := qt.New(t)
 	rapid.Check(t, func(t *rapid.T) {
-		r := newRig(c)
-		kinds := []caller.Kind{caller.KindRead, caller.KindWrite, caller.KindBegin, caller.KindCommit, caller.KindRollback}
-		peers := []string{"near", "far"}
-		waiting, sent := false, 0
-		var kind caller.Kind
-		count := func(as []dispatcher.Action) {
-			for _, f := range find[dispatcher.Forward](as) {
-				sent++
-				if f.Seq != r.seq || sent > 1 && kind != caller.KindRead {
-					t.Fatalf("request %d of kind %d sent %d times, last as %d", r.seq, kind, sent, f.Seq)
-				}
-			}
-			answers := len(find[caller.Release](as)) + len(find[caller.Refuse](as)) + len(find[caller.Complete](as))
-			if answers > 1 || answers == 1 && !waiting {
-				t.Fatalf("answers nobody waits for: %+v", as)
-			}
-			waiting = waiting && answers == 0
-		}
+		p := &player{rig: newRig(c)}
 		for range rapid.IntRange(1, 60).Draw(t, "events") {
-			peer := rapid.SampledFrom(peers).Draw(t, "peer")
-			switch rapid.IntRange(0, 6).Draw(t, "event") {
-			case 0:
-				if !waiting {
-					kind, waiting, sent = rapid.SampledFrom(kinds).Draw(t, "kind"), true, 0
-					count(r.ask(kind))
-				}
-			case 1:
-				count(r.answer(peer, rapid.Bool().Draw(t, "open"), session.Position{}))
-			case 2:
-				count(r.step(dispatcher.LinkLost{Peer: peer}))
-			case 3:
-				count(r.step(dispatcher.LinkUp{Peer: peer}))
-			case 4:
-				count(r.step(dispatcher.Alive{Peer: peer}))
-			case 5:
-				count(r.step(dispatcher.Leaving{Peer: peer}))
-			default:
-				count(r.run(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond))
-			}
+			p.take(t, p.play(t))
 		}
-		count(r.run(10 * time.Second))
-		if waiting {
-			t.Fatalf("a request of kind %d is left without an answer", kind)
+		p.take(t, p.run(10*time.Second))
+		if p.waiting {
+			t.Fatalf("a request of kind %d is left without an answer", p.kind)
 		}
 	})
 }
--- a/internal/dispatcher/rows.go
+++ b/internal/dispatcher/rows.go
@@ -13,6 +13,14 @@
 	peers []string
 	// declined is until when a node that has declined a request of the group is left alone.
 	declined map[string]time.Duration
+	// without is since when a request has found none of the nodes usable, zero while one is.
+	without time.Duration
+}
+
+// withWithout returns the row of a group that has no usable node since a moment, or has one.
+func (g group) withWithout(since time.Duration) group {
+	g.without = since
+	return g
 }
 
 // withDeclined returns the row after a node declined a request.
--- a/internal/fleet/many_test.go
+++ b/internal/fleet/many_test.go
@@ -8,13 +8,19 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"buckthornport.example/buckthornport/internal/peer"
 )
 
+// fewConnections is how many connections each server takes where there are many nodes.
+const fewConnections = 12
+
 // startManyNodes returns a deployment of nodes over three zones whose servers take only a few connections each.
-func startManyNodes(c *qt.C, nodes, limit int) *deployment {
+func startManyNodes(c *qt.C, nodes int) *deployment {
 	d := startPlatform(c)
-	d.platform.LimitConnections("books", limit)
-	d.platform.Put("op", "config", []byte(strings.Replace(fmt.Sprintf(config, 3, ""), `"MaxConns":33`, fmt.Sprintf(`"MaxConns":%d`, limit), 1)))
+	d.platform.LimitConnections("books", fewConnections)
+	limited := strings.Replace(config, `"MaxConns":33`, fmt.Sprintf(`"MaxConns":%d`, fewConnections), 1)
+	d.platform.Put("op", "config", fmt.Appendf(nil, limited, 3, ""))
 	for i := range nodes {
 		d.start(c, fmt.Sprintf("node-%d", i+1), []string{"a", "b", "m"}[i%3])
 	}
@@ -60,7 +66,7 @@
 func TestMoreNodesThanConnections(t *testing.T) {
 	t.Run("all callers are served", func(t *testing.T) {
 		c := qt.New(t)
-		d := startManyNodes(c, 15, 12)
+		d := startManyNodes(c, 15)
 		waitUntil(c, "few nodes are left that ask servers for their status", func() bool {
 			return d.platform.Connections("books") <= 3
 		})
@@ -94,7 +100,7 @@
 func TestDispatcherLost(t *testing.T) {
 	t.Run("stopped at once", func(t *testing.T) {
 		c := qt.New(t)
-		d := startManyNodes(c, 9, 12)
+		d := startManyNodes(c, 9)
 		serves, other := d.dispatcher(c)
 		s := connect(c, other, "tickets")
 		assertAnswers(s, "WRITE a 1", nil, "I")
@@ -108,7 +114,7 @@
 	})
 	t.Run("in a transaction", func(t *testing.T) {
 		c := qt.New(t)
-		d := startManyNodes(c, 9, 12)
+		d := startManyNodes(c, 9)
 		serves, other := d.dispatcher(c)
 		s := connect(c, other, "ledger")
 		assertAnswers(s, "BEGIN", nil, "T")
@@ -123,7 +129,7 @@
 	})
 	t.Run("drained", func(t *testing.T) {
 		c := qt.New(t)
-		d := startManyNodes(c, 9, 12)
+		d := startManyNodes(c, 9)
 		serves, other := d.dispatcher(c)
 		open := connect(c, other, "ledger")
 		assertAnswers(open, "BEGIN", nil, "T")
@@ -150,7 +156,7 @@
 	})
 	t.Run("a prepared statement and a value go along", func(t *testing.T) {
 		c := qt.New(t)
-		d := startManyNodes(c, 9, 12)
+		d := startManyNodes(c, 9)
 		serves, other := d.dispatcher(c)
 		s := connect(c, other, "ledger")
 		assertAnswers(s, "SET v 1", nil, "I")
@@ -160,3 +166,21 @@
 		assertAnswers(s, "READ a", []string{"7"}, "I")
 	})
 }
+
+// TestSeenShares guards against nodes that are cut off from the fleet and each take a whole dispatcher's share of a server.
+func TestSeenShares(t *testing.T) {
+	for _, k := range []struct {
+		name                        string
+		members, known, nodes, want int
+	}{
+		{"all nodes are seen", 20, 20, 3, 8},
+		{"a quarter of the nodes is seen", 5, 20, 3, 2},
+		{"all nodes serve", 5, 20, 5, 8},
+		{"nothing is known yet", 1, 0, 0, 8},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			n := &Node{members: make([]peer.Update, k.members), known: k.known}
+			qt.Assert(t, n.seen(make([]string, k.nodes), 8), qt.Equals, k.want)
+		})
+	}
+}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -59,6 +59,8 @@
 	mu      sync.Mutex
 	lanes   map[string]*traffic.Lane
 	members []peer.Update
+	// known counts the members that are thought dead as well.
+	known int
 	// met says that the fleet's list was read, or waited for long enough; registering adds this node to it once.
 	met         bool
 	registering sync.Once
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -50,6 +50,7 @@
 func (n *Node) setMembers(a peer.MembersChanged) {
 	n.mu.Lock()
 	n.members = a.Members
+	n.known = a.Known
 	n.met = n.met || a.Listed
 	n.mu.Unlock()
 	n.shareOut()
@@ -108,8 +109,17 @@
 		rank := max(0, slices.Index(nodes, n.settings.Peer))
 		l.Post(caller.Limited{
 			Server: id,
-			Slots:  max(leastSlots, peer.Share(s.slots*queuedPerSlot, max(1, len(nodes)), rank)),
-			Conns:  max(1, peer.Share(g.ConnectionsPerServer, max(1, len(nodes)), rank)-controlConns),
+			Slots:  max(leastSlots, n.seen(nodes, peer.Share(s.slots*queuedPerSlot, max(1, len(nodes)), rank))),
+			Conns:  max(1, n.seen(nodes, peer.Share(g.ConnectionsPerServer, max(1, len(nodes)), rank))-controlConns),
 		})
 	}
 }
+
+// seen cuts a dispatcher's share down to the part of the fleet that it sees: the rest may be there all the same, and have chosen
+// dispatchers of its own. The lock is held.
+func (n *Node) seen(nodes []string, share int) int {
+	if len(nodes) == len(n.members) {
+		return share
+	}
+	return share * len(n.members) / max(n.known, len(n.members))
+}
--- a/internal/peer/rows.go
+++ b/internal/peer/rows.go
@@ -195,6 +195,8 @@
 // MembersChanged gives all nodes that are there, in the order of their names.
 type MembersChanged struct {
 	Members []Update
+	// Known counts those that are thought dead as well.
+	Known int
 	// Listed says that the platform's list has been read, so that nodes which nobody has met are among them.
 	Listed bool
 }
--- a/internal/peer/spread.go
+++ b/internal/peer/spread.go
@@ -143,5 +143,5 @@
 		return
 	}
 	m.changed = false
-	m.out = append(m.out, MembersChanged{Members: m.Alive(), Listed: m.listed})
+	m.out = append(m.out, MembersChanged{Members: m.Alive(), Known: m.members.Len() + 1, Listed: m.listed})
 }
--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -179,7 +179,9 @@
 func (p *Platform) answer(w http.ResponseWriter, status int, rows []wireRow) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "HasMore": false, "RowVersion": p.version, "NowMs": time.Since(p.start).Milliseconds()})
+	_ = json.NewEncoder(w).Encode(map[string]any{
+		"rows": rows, "HasMore": false, "RowVersion": p.version, "NowMs": time.Since(p.start).Milliseconds(),
+	})
 }
 
 func (p *Platform) serveFeed(w http.ResponseWriter, r *http.Request) {
