--- a/internal/dispatcher/messages.go
+++ b/internal/dispatcher/messages.go
@@ -81,6 +81,8 @@
 	Seq       uint64
 	Floor     session.Position
 	Statement caller.Statement
+	// Joined says that the request belongs to a transaction that is open at the dispatcher, outside of which it must not run.
+	Joined bool
 }
 
 // Abandon tells a dispatcher that a session's caller is gone.
@@ -157,9 +159,9 @@
 	maxAttempts = 3
 	// declinedFor is how long a node that declined a request is given none of the same group.
 	declinedFor = 50 * time.Millisecond
-	// withoutFor is how long requests wait for a link to any dispatcher of a group; from then on they are refused at once until one
-	// is open. A node that starts again is back sooner.
-	withoutFor = time.Second
+	// unreachableFor is how long requests wait for a link to any dispatcher of a group; from then on they are refused at once until
+	// one is open. A node that starts again is back sooner.
+	unreachableFor = time.Second
 	// maxOpening bounds the links that are opened at once for one request.
 	maxOpening = 2
 	// ownPause is the lateness of a step after which silence is this node's own.
--- a/internal/dispatcher/rows.go
+++ b/internal/dispatcher/rows.go
@@ -13,13 +13,13 @@
 	peers []string
 	// declined is until when a node that has declined a request of the group is left alone.
 	declined map[string]time.Duration
-	// without is since when a request has found none of the nodes usable, zero while one is.
-	without time.Duration
+	// unreachable is since when a request has found none of the nodes usable, zero while one is.
+	unreachable time.Duration
 }
 
-// withWithout returns the row of a group that has no usable node since a moment, or has one.
-func (g group) withWithout(since time.Duration) group {
-	g.without = since
+// withUnreachable returns the row of a group that has no usable node since a moment, or for zero has one.
+func (g group) withUnreachable(since time.Duration) group {
+	g.unreachable = since
 	return g
 }
 
@@ -193,10 +193,12 @@
 	return r
 }
 
-// unplaced is the refusal of a request that no dispatcher is left for: for the given reason, unless it may have run.
-func (r request) unplaced(reason caller.Reason, detail string) caller.Refusal {
+// unplaced is the refusal of a request that no dispatcher is left for; one that may have run does not count as not run.
+func (r request) unplaced() caller.Refusal {
 	if r.ran {
 		return caller.Refusal{Reason: caller.ReasonCut, Retry: retryHint, Detail: "the nodes that were asked do not answer"}
 	}
-	return caller.Refusal{Reason: reason, Retry: retryHint, Detail: detail}
+	return caller.Refusal{
+		Reason: caller.ReasonNoPrimary, Retry: retryHint, Detail: "no node that serves the database can be reached",
+	}
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -64,9 +64,9 @@
 	// met says that the fleet's list was read, or waited for long enough; registering adds this node to it once.
 	met         bool
 	registering sync.Once
-	// serving says which nodes serve each group, tenants are the streams of those that hand requests to this one.
+	// serving says which nodes serve each group, remotes are the streams of those that hand requests to this one.
 	serving map[string]serving
-	tenants map[*tenants]bool
+	remotes map[*remoteSessions]bool
 	slots   map[string]server
 	views   map[string]upstream.GroupView
 }
@@ -125,7 +125,7 @@
 		limiter: operator.NewLimiter(), failovers: operator.NewFailovers(),
 		clock: tick.NewClock(), start: time.Now(),
 		members: []peer.Update{{Name: s.Peer, Zone: s.Zone, Address: s.Peer, Weight: s.Weight()}},
-		serving: map[string]serving{}, tenants: map[*tenants]bool{},
+		serving: map[string]serving{}, remotes: map[*remoteSessions]bool{},
 		lanes: map[string]*traffic.Lane{}, slots: map[string]server{}, views: map[string]upstream.GroupView{},
 	}
 	for _, o := range opts {
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -114,18 +114,18 @@
 
 // serveJobs takes the requests that another node hands to this one, on one stream.
 func (n *Node) serveJobs(a peerlink.Answers) peerlink.Jobs {
-	t := &tenants{node: n, answers: a, sessions: map[caller.SessionID]*platform.Session{}}
+	r := &remoteSessions{node: n, answers: a, sessions: map[caller.SessionID]*platform.Session{}}
 	n.mu.Lock()
-	n.tenants[t] = true
+	n.remotes[r] = true
 	n.mu.Unlock()
 	if n.draining.Load() {
 		a.Leaving()
 	}
-	return peerlink.Jobs{Job: t.run, Abandoned: t.abandon, Ended: t.end}
+	return peerlink.Jobs{Job: r.run, Abandoned: r.abandon, Ended: r.end}
 }
 
-// tenants are the sessions that another node has with this one, by that node's names for them.
-type tenants struct {
+// remoteSessions are the sessions that another node has with this one, by that node's ids.
+type remoteSessions struct {
 	node     *Node
 	answers  peerlink.Answers
 	mu       sync.Mutex
@@ -133,59 +133,65 @@
 }
 
 // run hands a job to the lane of its group, or declines it.
-func (t *tenants) run(j dispatcher.Job) {
-	t.mu.Lock()
-	s, ok := t.sessions[j.Session]
-	t.mu.Unlock()
+func (r *remoteSessions) run(j dispatcher.Job) {
+	r.mu.Lock()
+	s, ok := r.sessions[j.Session]
+	r.mu.Unlock()
 	if !ok {
-		l, serves := t.node.laneFor(j.Group)
-		if !serves || t.node.draining.Load() {
-			t.answers.Outcome(dispatcher.Outcome{Session: j.Session, Seq: j.Seq, Declined: true})
+		l, serves := r.node.laneFor(j.Group)
+		if j.Joined || !serves || r.node.draining.Load() {
+			r.answers.Outcome(dispatcher.Outcome{Session: j.Session, Seq: j.Seq, Declined: true})
 			return
 		}
-		s = t.node.front.OpenRemote(platform.Route{Group: j.Group, Post: l.Post}, j.Floor,
-			func(seq uint64, a platform.Answer) { t.deliver(j.Session, seq, a) })
-		t.mu.Lock()
-		t.sessions[j.Session] = s
-		t.mu.Unlock()
+		s = r.node.front.OpenRemote(platform.Route{Group: j.Group, Post: l.Post}, j.Floor,
+			func(seq uint64, a platform.Answer) { r.deliver(j.Session, s, seq, a) })
+		r.mu.Lock()
+		r.sessions[j.Session] = s
+		r.mu.Unlock()
 	}
 	if err := s.Run(j); err != nil {
-		t.node.depend("job/"+j.Group, "call_failed", err)
-		t.abandon(j.Session)
-		t.answers.Outcome(dispatcher.Outcome{Session: j.Session, Seq: j.Seq, Declined: true})
+		r.node.depend("job/"+j.Group, "call_failed", err)
+		r.abandon(j.Session)
+		r.answers.Outcome(dispatcher.Outcome{Session: j.Session, Seq: j.Seq, Declined: true})
 	}
 }
 
-// deliver sends an answer back; a session ends with its transaction.
-func (t *tenants) deliver(id caller.SessionID, seq uint64, a platform.Answer) {
+// deliver sends an answer back, unless its session was abandoned meanwhile; a session ends with its transaction.
+func (r *remoteSessions) deliver(id caller.SessionID, s *platform.Session, seq uint64, a platform.Answer) {
+	r.mu.Lock()
+	current := r.sessions[id] == s
+	r.mu.Unlock()
+	if !current {
+		return
+	}
 	if !a.Open() {
-		t.abandon(id)
+		r.abandon(id)
 	}
-	t.answers.Outcome(dispatcher.Outcome{
+	r.answers.Outcome(dispatcher.Outcome{
 		Session: id, Seq: seq, Answer: a.Out, State: a.State, Open: a.Open(), Position: a.Position, Floor: a.Floor,
 	})
 }
 
 // abandon ends a session with what is left of its transaction.
-func (t *tenants) abandon(id caller.SessionID) {
-	t.mu.Lock()
-	s, ok := t.sessions[id]
-	delete(t.sessions, id)
-	t.mu.Unlock()
+func (r *remoteSessions) abandon(id caller.SessionID) {
+	r.mu.Lock()
+	s, ok := r.sessions[id]
+	delete(r.sessions, id)
+	r.mu.Unlock()
 	if ok {
 		s.Leave()
 	}
 }
 
 // end ends all sessions of a stream that is gone.
-func (t *tenants) end() {
-	t.node.mu.Lock()
-	delete(t.node.tenants, t)
-	t.node.mu.Unlock()
-	t.mu.Lock()
-	ss := t.sessions
-	t.sessions = map[caller.SessionID]*platform.Session{}
-	t.mu.Unlock()
+func (r *remoteSessions) end() {
+	r.node.mu.Lock()
+	delete(r.node.remotes, r)
+	r.node.mu.Unlock()
+	r.mu.Lock()
+	ss := r.sessions
+	r.sessions = map[caller.SessionID]*platform.Session{}
+	r.mu.Unlock()
 	for _, s := range ss {
 		s.Leave()
 	}
@@ -195,7 +201,7 @@
 func (n *Node) tellLeaving() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for t := range n.tenants {
-		t.answers.Leaving()
+	for r := range n.remotes {
+		r.answers.Leaving()
 	}
 }
--- a/internal/peerlink/codec.go
+++ b/internal/peerlink/codec.go
@@ -61,7 +61,7 @@
 	s := j.Statement
 	return &Job{
 		Session: uint64(j.Session), Seq: j.Seq, Group: j.Group, Floor: encodePosition(j.Floor),
-		Version: s.Version, Id: s.ID, Text: j.Text, Shape: j.Shape, Writes: j.Writes, Names: j.Names,
+		Joined: j.Joined, Version: s.Version, Id: s.ID, Text: j.Text, Shape: j.Shape, Writes: j.Writes, Names: j.Names,
 		Values: j.Values,
 		Class: &Class{
 			Name: s.Class.Name, DeadlineMs: s.Class.DeadlineMS, Priority: int64(s.Class.Priority),
@@ -75,7 +75,7 @@
 	v := p.GetClass()
 	return dispatcher.Job{
 		Forward: dispatcher.Forward{
-			Session: caller.SessionID(p.Session), Seq: p.Seq, Group: p.Group, Floor: decodePosition(p.Floor),
+			Session: caller.SessionID(p.Session), Seq: p.Seq, Group: p.Group, Floor: decodePosition(p.Floor), Joined: p.Joined,
 			Statement: caller.Statement{
 				Version: p.Version, ID: p.Id,
 				Class: bundle.Class{
