A node that sees less than half of the fleet takes that part of its shares, also where all that it sees serve

A node that is cut off long enough to think all others dead would have taken itself for a fleet of one, with every connection of each server, as would each other one that is cut off like it.

--- a/internal/fleet/many_test.go
+++ b/internal/fleet/many_test.go
@@ -175,7 +175,8 @@
 	}{
 		{"all nodes are seen", 20, 20, 3, 8},
 		{"a quarter of the nodes is seen", 5, 20, 3, 2},
-		{"all nodes serve", 5, 20, 5, 8},
+		{"all nodes serve, and a few are lost", 15, 20, 15, 8},
+		{"all nodes that are seen serve, and most are not seen", 5, 20, 5, 2},
 		{"nothing is known yet", 1, 0, 0, 8},
 	} {
 		t.Run(k.name, func(t *testing.T) {
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -115,11 +115,12 @@
 	}
 }
 
-// seen cuts a dispatcher's share down to the part of the fleet that it sees: the rest may be there all the same, and have chosen
-// dispatchers of its own. The lock is held.
+// seen cuts a node's share down to the part of the fleet that it sees: the rest may be there all the same, and serve the group among
+// itself. Where all nodes serve, the loss of a few is no reason. The lock is held.
 func (n *Node) seen(nodes []string, share int) int {
-	if len(nodes) == len(n.members) {
+	there, known := len(n.members), max(n.known, len(n.members))
+	if len(nodes) == there && 2*there >= known {
 		return share
 	}
-	return share * len(n.members) / max(n.known, len(n.members))
+	return share * there / known
 }
