--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -115,8 +115,8 @@
 	}
 }
 
-// seen cuts a node's share down to the part of the fleet that it sees: the rest may be there all the same, and serve the group among
-// itself. Where all nodes serve, the loss of a few is no reason. The lock is held.
+// seen cuts a node's share down to the part of the fleet that it sees, since the rest may be there all the same and serve the group
+// as well. Where all nodes serve, the loss of a few is no reason. The lock is held.
 func (n *Node) seen(nodes []string, share int) int {
 	there, known := len(n.members), max(n.known, len(n.members))
 	if len(nodes) == there && 2*there >= known {
