One way for tests to find addresses, which nothing else can take; a node that does not start fails its test at once

The dump shows the second node's Run returned and the test waiting for its readiness; with an address that is taken already the same test hangs in the same place. The harness chose a free port of 127.0.0.1 and closed it, and any outgoing connection or other test process could take it before the node listened: the fault that was mended for internal/fleet alone. cmd/buckthornport had it, too.

Addresses come from internal/standin/loopback now, on an IP of each process's own, and the harness reports a node that ends before it is ready.

--- a/cmd/buckthornport/process_test.go
+++ b/cmd/buckthornport/process_test.go
@@ -21,6 +21,7 @@
 	"buckthornport.example/buckthornport/internal/proxy"
 	"buckthornport.example/buckthornport/internal/settings"
 	"buckthornport.example/buckthornport/internal/standin/group"
+	"buckthornport.example/buckthornport/internal/standin/loopback"
 	"buckthornport.example/buckthornport/internal/standin/platform"
 	"buckthornport.example/buckthornport/pkg/bundle"
 )
@@ -48,10 +49,9 @@
 
 func free(c *qt.C) string {
 	c.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	c.Assert(err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func (s *site) write(c *qt.C, name string, v any) string {
--- a/internal/fleet/whole_test.go
+++ b/internal/fleet/whole_test.go
@@ -19,6 +19,7 @@
 
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/settings"
+	"buckthornport.example/buckthornport/internal/standin/loopback"
 	"buckthornport.example/buckthornport/internal/standin/metadata"
 	"buckthornport.example/buckthornport/pkg/bundle"
 )
@@ -60,21 +61,10 @@
 	return rs
 }
 
-// taken holds the addresses that freeAddress has returned.
-var taken sync.Map
-
-// freeAddress returns an address to listen on, each once. Outgoing connections on loopback take ports of 127.0.0.1, so that none of
-// them can take the port between this and its use.
 func freeAddress(c *qt.C) string {
-	for {
-		l, err := net.Listen("tcp", "127.0.0.2:0")
-		c.Assert(err, qt.IsNil)
-		address := l.Addr().String()
-		c.Assert(l.Close(), qt.IsNil)
-		if _, again := taken.LoadOrStore(address, true); !again {
-			return address
-		}
-	}
+	address, err := loopback.FreeAddress()
+	c.Assert(err, qt.IsNil)
+	return address
 }
 
 func startDeployment(c *qt.C, nodes int) *deployment {
--- a/internal/proxy/deployment_test.go
+++ b/internal/proxy/deployment_test.go
@@ -15,6 +15,7 @@
 	"buckthornport.example/buckthornport/internal/proxy"
 	"buckthornport.example/buckthornport/internal/settings"
 	"buckthornport.example/buckthornport/internal/standin/group"
+	"buckthornport.example/buckthornport/internal/standin/loopback"
 	"buckthornport.example/buckthornport/pkg/bundle"
 )
 
@@ -31,10 +32,9 @@
 
 func freeAddress(c *qt.C) string {
 	c.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	c.Assert(err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // change alters a bundle before a deployment starts.
@@ -89,7 +89,11 @@
 	stopped := make(chan error, 1)
 	d.stopped = append(d.stopped, stopped)
 	go func() { stopped <- n.Run() }()
-	<-n.Ready()
+	select {
+	case <-n.Ready():
+	case err := <-stopped:
+		c.Fatalf("node %d did not start: %v", i, err)
+	}
 }
 
 func (d *deployment) bundle() bundle.Bundle {
--- /dev/null
+++ b/internal/standin/loopback/doc.go
@@ -0,0 +1,2 @@
+// Package loopback gives out addresses for deployments that run on one machine.
+package loopback
