Fleet: TestFleetChanges/a_node_is_added waits until the added node is ready

Cause: the test connected once both nodes were members. Change: the test waits until all nodes are ready, as the subtest before it does; what it asserts is the same.

--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -356,6 +356,7 @@
 		for _, n := range d.nodes {
 			waitUntil(c, "both nodes are members", func() bool { return len(n.Status().Members) == 2 })
 		}
+		d.awaitReady(c)
 		assertAnswers(connect(c, d.nodes[1], "ledger"), "WRITE a 1", nil, "I")
 	})
 	t.Run("server row has the address of another service's server", func(t *testing.T) {
