Fleet: log how large a configuration was and how long it took to arrive; count bytes read from the store

Cause: the logs of the incident say when a configuration took effect but not whether its bytes came late or it was decoded late, so that they cannot tell copies over the link, slow nodes and a feed that stands still apart. Change: bundle records carry bytes and transfer (from the response's headers to the end of its body); store_bytes_received_total as metric and in /status. No decision reads them. Measured: TestMetrics; platform, fleet and control pass.

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"time"
 
 	"buckthornport.example/buckthornport/internal/operator"
@@ -17,10 +18,11 @@
 // Action is an action of the upstream, peer or platform package, or one of this package.
 type Action any
 
-// BundleOffered is an event: an encoded, signed bundle arrived from Source.
+// BundleOffered is an event: an encoded, signed bundle arrived from Source. Transfer is how long it took to arrive, if known.
 type BundleOffered struct {
-	Encoded []byte
-	Source  string
+	Encoded  []byte
+	Source   string
+	Transfer time.Duration
 }
 
 // BundleAdopted is an action: the node works under this bundle from now on.
@@ -222,7 +224,8 @@
 		if n.GossipBundles {
 			next.add(peer.BundleAccepted{Version: b.Version, Bundle: o.Encoded})
 		}
-		n.writeAuditRecord(now, next, operator.Record{Kind: operator.KindBundle, Cause: "in_force"}.WithEvidence("source", o.Source))
+		n.writeAuditRecord(now, next, operator.Record{Kind: operator.KindBundle, Cause: "in_force"}.WithEvidence("source", o.Source).
+			WithEvidence("bytes", strconv.Itoa(len(o.Encoded))).WithEvidence("transfer", o.Transfer.String()))
 	}
 }
 
--- a/internal/fleet/events_test.go
+++ b/internal/fleet/events_test.go
@@ -85,6 +85,7 @@
 		assertMetricLines(c, d.nodes[0],
 			`answer_seconds_count{node="node-1",group="books",class="fresh"} 1`,
 			`requests_total{node="node-1",group="books",outcome="refused"} 0`,
+			`store_bytes_received_total{node="node-1"} [1-9]\d*`,
 			`ready{node="node-1"} 1`)
 	})
 	t.Run("change of primary", func(t *testing.T) {
--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -132,7 +132,7 @@
 // offerConfig passes the row with the configuration on to the control thread; it ignores other rows.
 func (n *Node) offerConfig(r platform.Row) {
 	if r.Key == platform.KeyConfig && !r.Deleted {
-		n.thread.Post(control.BundleOffered{Encoded: r.Value, Source: "store"})
+		n.thread.Post(control.BundleOffered{Encoded: r.Value, Source: "store", Transfer: r.Transfer})
 	}
 }
 
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -29,6 +29,7 @@
 	PeerMessagesDropped  int64              `json:"peer_messages_dropped"`
 	StoreCalls           int64              `json:"store_calls"`
 	StoreCallsFailed     int64              `json:"store_calls_failed"`
+	StoreBytesReceived   int64              `json:"store_bytes_received"`
 	LogRecordsSuppressed uint64             `json:"log_records_left_out"`
 	LogLinesDropped      uint64             `json:"log_lines_dropped"`
 	Lanes                []traffic.Snapshot `json:"lanes"`
@@ -43,7 +44,7 @@
 		Node: n.settings.Node, Zone: n.settings.Zone, Ready: n.Ready(), ConfigVersion: n.routes.Load().bundle.Version,
 		UptimeMS: n.clock().Milliseconds(), Sessions: n.listener.SessionCount(), ConnectionsAccepted: n.listener.Stats().Accepted.Load(),
 		ConnectionsRejected: n.listener.Stats().Rejected.Load(), LogRecordsSuppressed: n.limiter.TotalSuppressed(),
-		LogLinesDropped: n.droppedLogLines(),
+		LogLinesDropped: n.droppedLogLines(), StoreBytesReceived: n.store.BytesReceived(),
 	}
 	s.PeerBytesSent, s.PeerMessagesDropped = n.link.Counts()
 	s.StoreCalls, s.StoreCallsFailed = n.store.Counts()
@@ -112,6 +113,7 @@
 	t.Line("peer_messages_dropped_total", s.PeerMessagesDropped)
 	t.Line("store_calls_total", s.StoreCalls)
 	t.Line("store_calls_failed_total", s.StoreCallsFailed)
+	t.Line("store_bytes_received_total", s.StoreBytesReceived)
 	t.Line("log_records_left_out_total", s.LogRecordsSuppressed)
 	t.Line("log_lines_dropped_total", s.LogLinesDropped)
 	t.Bytes("server", &n.serverBytes)
