--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -33,8 +33,10 @@
 // deployment is a platform with one group of three servers and some nodes, all on loopback addresses.
 type deployment struct {
 	platform *metadata.Platform
-	// platformAddress is the address of the platform's store and promotion orders.
+	// platformAddress is the address of the platform's store and promotion orders. Nodes in zones of regionLinks reach it through
+	// the link of their region.
 	platformAddress string
+	regionLinks     map[string]*metadata.Link
 	nodes           []*Node
 	log             lockedBuffer
 }
@@ -81,12 +83,17 @@
 	d := &deployment{platform: metadata.New()}
 	c.Assert(d.platform.AddGroup("books", []string{"a", "b", "m"}, 300*time.Millisecond), qt.IsNil)
 	d.platform.Put("op", "config", fmt.Appendf(nil, config, 3, ""))
-	srv := httptest.NewServer(d.platform.Handler())
-	c.Cleanup(srv.CloseClientConnections)
-	d.platformAddress = strings.TrimPrefix(srv.URL, "http://")
+	d.platformAddress = servePlatform(c, d.platform.Handler())
 	return d
 }
 
+// servePlatform serves a handler of the platform's calls on a loopback address.
+func servePlatform(c *qt.C, h http.Handler) string {
+	srv := httptest.NewServer(h)
+	c.Cleanup(srv.CloseClientConnections)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
 func (d *deployment) awaitReady(c *qt.C) {
 	for _, n := range d.nodes {
 		waitUntil(c, "node is ready", n.Ready)
@@ -99,6 +106,9 @@
 		Listen: freeAddress(c), Ready: freeAddress(c), Peer: freeAddress(c), Store: d.platformAddress, Orders: d.platformAddress,
 		GraceMS: 2000, LogLevel: "info",
 	}
+	if l, ok := d.regionLinks[s.Zones.Region(zone)]; ok {
+		s.Store = servePlatform(c, l.Handler(d.platform.Handler()))
+	}
 	if len(d.nodes) > 0 {
 		s.Seeds = []string{d.nodes[0].settings.Peer}
 	}
--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -163,7 +163,6 @@
 func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	out := []wireRow{}
 	for k, v := range p.rows {
 		if k.table == q.Get("Table") && k.key >= q.Get("StartKey") && (q.Get("To") == "" || k.key < q.Get("To")) {
@@ -176,16 +175,28 @@
 		}
 		return 1
 	})
-	p.writeRows(w, http.StatusOK, out)
+	body := p.encodeRows(out)
+	p.mu.Unlock()
+	writeBody(w, http.StatusOK, body)
 }
 
-// writeRows writes an answer with rows, the current version and the store time. p.mu must be held.
-func (p *Platform) writeRows(w http.ResponseWriter, status int, rows []wireRow) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(map[string]any{
+// encodeRows encodes an answer with rows, the current version and the store time. p.mu must be held.
+func (p *Platform) encodeRows(rows []wireRow) []byte {
+	body, err := json.Marshal(map[string]any{
 		"rows": rows, "HasMore": false, "RowVersion": p.version, "NowMs": time.Since(p.start).Milliseconds(),
 	})
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
+// writeBody writes an answer. It must be called without the platform's lock, as a slow requester or link delays it.
+func writeBody(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the requester has disconnected, which needs no handling.
+	_, _ = w.Write(body)
 }
 
 // serveFeed answers with the changes of a table after a version. If there are none, it waits for one up to WaitMs.
@@ -213,8 +224,9 @@
 		}
 		changed := p.changed
 		if len(out) > 0 {
-			p.writeRows(w, http.StatusOK, out)
+			body := p.encodeRows(out)
 			p.mu.Unlock()
+			writeBody(w, http.StatusOK, body)
 			return
 		}
 		p.mu.Unlock()
@@ -223,8 +235,9 @@
 			return
 		case <-deadline:
 			p.mu.Lock()
-			p.writeRows(w, http.StatusOK, []wireRow{})
+			body := p.encodeRows([]wireRow{})
 			p.mu.Unlock()
+			writeBody(w, http.StatusOK, body)
 			return
 		case <-changed:
 		}
@@ -233,19 +246,34 @@
 
 // serveTransaction writes rows if all expected rows have the expected versions, or else answers with the current rows.
 func (p *Platform) serveTransaction(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		ExpectedRev []wireRow
-		Writes      []wireRow
-	}
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+	var t transaction
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	status, rows := p.apply(t)
+	lost := p.faults.LoseAnswers && status == http.StatusOK
+	body := p.encodeRows(rows)
+	p.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	writeBody(w, status, body)
+}
+
+// transaction is the body of a call to /rows-tx.
+type transaction struct {
+	ExpectedRev []wireRow
+	Writes      []wireRow
+}
+
+// apply performs a transaction. It returns the HTTP status and, if an expected version does not match, the current rows. p.mu must
+// be held.
+func (p *Platform) apply(t transaction) (int, []wireRow) {
 	var current []wireRow
 	conflict := false
-	for _, e := range body.ExpectedRev {
+	for _, e := range t.ExpectedRev {
 		v, ok := p.rows[rowKey{e.Table, e.Key}]
 		if ok {
 			current = append(current, v.wire())
@@ -253,19 +281,14 @@
 		conflict = conflict || v.version != e.RowVersion
 	}
 	if conflict {
-		p.writeRows(w, http.StatusPreconditionFailed, current)
-		return
+		return http.StatusPreconditionFailed, current
 	}
-	for _, e := range body.Writes {
+	for _, e := range t.Writes {
 		value, err := base64.StdEncoding.DecodeString(e.Value)
 		if err != nil || e.Table == "op" || e.Table == "servers" {
-			w.WriteHeader(http.StatusForbidden)
-			return
+			return http.StatusForbidden, nil
 		}
 		p.put(row{rowKey: rowKey{e.Table, e.Key}, value: value})
 	}
-	if p.faults.LoseAnswers {
-		panic(http.ErrAbortHandler)
-	}
-	p.writeRows(w, http.StatusOK, nil)
+	return http.StatusOK, nil
 }
