Platform: decide which nodes read tables of the store and how changes pass between nodes

Cause: each node reads each change of the operator's and the servers' tables from the store itself. A configuration then crosses the link between regions once for each node behind it. Change: Mirror holds the copies of followed tables. Two nodes of each region, by weighted rendezvous hash, read the store; each change, and at intervals that there was none, is announced to four successors (a Kautz graph and a ring over the region), which request what they lack as rows or as a delta. A node without a confirmation for ConfirmTimeout reads the store itself and thereby serves its successors. Weighed: the gossip of bundles (random members, half of them behind the link; nothing tells a node that it hears nothing); a pointer row in the store (needs a writer that is alive); a tree below the readers (its inner nodes need repair, where a graph with two paths to spare only needs the fallback). With all readers lost, cut off, or nine of ten nodes lost: within 3 s. Not used yet.

--- a/internal/peer/rendezvous.go
+++ b/internal/peer/rendezvous.go
@@ -66,3 +66,83 @@
 	}
 	return s
 }
+
+// storeReaders is the number of nodes of each region that read the platform's store for the other nodes of the region.
+const storeReaders = 2
+
+// StoreReaders returns the names of the nodes that read the platform's store for the others, chosen by weighted rendezvous hash
+// among the members of one region. They are in different availability zones if there are several.
+func StoreReaders(members []Update) []string {
+	var names []string
+	zones := map[string]bool{}
+	for len(names) < min(storeReaders, len(members)) {
+		var best Update
+		bestScore, bestInNewZone := 0.0, false
+		for _, u := range members {
+			s, inNewZone := score(u, "store"), !zones[u.Zone]
+			if slices.Contains(names, u.Name) || bestInNewZone && !inNewZone {
+				continue
+			}
+			if best.Name == "" || inNewZone && !bestInNewZone || s > bestScore || s == bestScore && u.Name < best.Name {
+				best, bestScore, bestInNewZone = u, s, inNewZone
+			}
+		}
+		names = append(names, best.Name)
+		zones[best.Zone] = true
+	}
+	return names
+}
+
+const (
+	// kautzDegree is the number of successors of a node in the Kautz graph.
+	kautzDegree = 3
+	// maxMeshMembers is the largest number of members that pass changes on to all others.
+	maxMeshMembers = 7
+)
+
+// Successors returns the names of the members to which a node passes changes on, among the members of one region. In a large region
+// they are its successors in a generalized Kautz graph and the next member: a change reaches all members in a number of steps that
+// grows with the logarithm of their number, also when any two of them are lost. Members that would be their own successors pass
+// changes on to each other in a circle instead.
+func Successors(node string, members []Update) []string {
+	hashes := make(map[string]uint64, len(members))
+	for _, u := range members {
+		hashes[u.Name] = rendezvousHash(u.Name, "successors")
+	}
+	// The order by hash mixes the zones.
+	names := slices.SortedFunc(maps.Keys(hashes), func(a, b string) int {
+		return cmp.Or(cmp.Compare(hashes[a], hashes[b]), cmp.Compare(a, b))
+	})
+	i, n := slices.Index(names, node), len(names)
+	if i < 0 || n <= maxMeshMembers {
+		return slices.DeleteFunc(names, func(o string) bool { return o == node })
+	}
+	out := []string{names[(i+1)%n]}
+	for j := 1; j <= kautzDegree; j++ {
+		o := kautzSuccessor(i, j, n)
+		if o == i {
+			for o = (i + 1) % n; !hasLoop(o, n); {
+				o = (o + 1) % n
+			}
+		}
+		if !slices.Contains(out, names[o]) && o != i {
+			out = append(out, names[o])
+		}
+	}
+	return out
+}
+
+// kautzSuccessor returns the successor number j, from 1 to kautzDegree, of node i in a generalized Kautz graph of n nodes.
+func kautzSuccessor(i, j, n int) int {
+	return (n - (kautzDegree*i+j)%n) % n
+}
+
+// hasLoop reports whether a node is its own successor.
+func hasLoop(i, n int) bool {
+	for j := 1; j <= kautzDegree; j++ {
+		if kautzSuccessor(i, j, n) == i {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/platform/mirror_test.go
@@ -0,0 +1,338 @@
+package platform_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"buckthornport.example/buckthornport/internal/peer"
+	"buckthornport.example/buckthornport/internal/platform"
+	"buckthornport.example/buckthornport/internal/tick"
+)
+
+const (
+	// inForceTarget is the time within which a change must be known to every node.
+	inForceTarget = 3 * time.Second
+	// controlBytesTarget is the number of bytes per second that a node may spend on control.
+	controlBytesTarget = 8192
+
+	storeDelay      = 5 * time.Millisecond
+	peerDelay       = 2 * time.Millisecond
+	messageOverhead = 60
+)
+
+// mirrorFleet is a store and the mirrors of the nodes of several regions, on one virtual clock.
+type mirrorFleet struct {
+	*tick.VirtualClock
+	random *rand.Rand
+	nodes  []*mirrorNode
+	byName map[string]*mirrorNode
+	// rows are the rows of the only table, and version is that of the store.
+	rows    map[string]platform.Row
+	version uint64
+	// storeDown makes reads fail. storeBytes counts the bytes that each region read from the store.
+	storeDown  bool
+	storeBytes map[string]int
+}
+
+type mirrorNode struct {
+	f      *mirrorFleet
+	name   string
+	region string
+	mirror *platform.Mirror
+	rows   map[string]platform.Row
+	alive  bool
+	// cutOff makes reads of the store hang until they fail.
+	cutOff bool
+	steps  int
+	sent   int
+	reads  int
+	// changedAt is when the node last learned of a change.
+	changedAt time.Duration
+}
+
+func newMirrorFleet(c *qt.C, seed int64, regions, perRegion int) *mirrorFleet {
+	f := &mirrorFleet{
+		VirtualClock: &tick.VirtualClock{}, random: rand.New(rand.NewSource(seed)), byName: map[string]*mirrorNode{},
+		rows: map[string]platform.Row{}, storeBytes: map[string]int{},
+	}
+	for r := range regions {
+		for i := range perRegion {
+			x := &mirrorNode{f: f, name: fmt.Sprintf("r%d-n%04d", r, i), region: fmt.Sprintf("r%d", r), alive: true}
+			f.nodes = append(f.nodes, x)
+			f.byName[x.name] = x
+			x.start(c)
+		}
+	}
+	f.assignSources()
+	return f
+}
+
+func (x *mirrorNode) start(c *qt.C) {
+	x.rows = map[string]platform.Row{}
+	var err error
+	x.mirror, err = platform.NewMirror(
+		platform.WithMirrorJitter(func(d time.Duration) time.Duration { return time.Duration(x.f.random.Int63n(int64(d) + 1)) }),
+		platform.WithTable(platform.TableRules{
+			Name: "t", ReadWait: time.Second, ConfirmTimeout: 1600 * time.Millisecond, BatchDelay: 200 * time.Millisecond,
+		}))
+	c.Assert(err, qt.IsNil)
+}
+
+// assignSources gives each node that is alive its sources among the living nodes of its region.
+func (f *mirrorFleet) assignSources() {
+	members := map[string][]peer.Update{}
+	for _, x := range f.nodes {
+		if x.alive {
+			members[x.region] = append(members[x.region], peer.Update{Name: x.name, Zone: x.region})
+		}
+	}
+	readers := map[string][]string{}
+	for region, us := range members {
+		readers[region] = peer.StoreReaders(us)
+	}
+	for _, x := range f.nodes {
+		if x.alive {
+			x.step(platform.SourcesAssigned{
+				Reader: slices.Contains(readers[x.region], x.name), Successors: peer.Successors(x.name, members[x.region]),
+			})
+		}
+	}
+}
+
+func (x *mirrorNode) step(es ...platform.MirrorEvent) {
+	if !x.alive {
+		return
+	}
+	x.steps++
+	step := x.steps
+	as, wake := x.mirror.Step(x.f.Now(), es)
+	for _, a := range as {
+		x.perform(a)
+	}
+	if wake < time.Hour {
+		x.f.After(max(0, wake-x.f.Now()), func() {
+			if x.steps == step {
+				x.step()
+			}
+		})
+	}
+}
+
+func (x *mirrorNode) perform(a platform.MirrorAction) {
+	switch a := a.(type) {
+	case platform.SendTable:
+		n := messageOverhead
+		for _, r := range a.Message.Rows {
+			n += len(r.Value) + len(r.Key)
+		}
+		x.sent += n
+		o := x.f.byName[a.To]
+		x.f.After(peerDelay, func() { o.step(platform.MessageReceived{From: x.name, Message: a.Message}) })
+	case platform.ReadTable:
+		x.f.After(storeDelay, func() { x.answer(0, true, x.f.Now()) })
+	case platform.ReadChanges:
+		x.f.After(storeDelay, func() { x.waitForChanges(a.After, x.f.Now()+a.Wait) })
+	case platform.TableChanged:
+		x.changedAt = x.f.Now()
+		if a.All {
+			x.rows = map[string]platform.Row{}
+		}
+		for _, r := range a.Rows {
+			x.rows[r.Key] = r
+		}
+	}
+}
+
+func (x *mirrorNode) waitForChanges(after uint64, until time.Duration) {
+	if x.f.newest() > after || x.f.Now() >= until || x.f.storeDown || x.cutOff {
+		x.answer(after, false, x.f.Now())
+		return
+	}
+	x.f.After(min(until-x.f.Now(), 5*time.Millisecond), func() { x.waitForChanges(after, until) })
+}
+
+// newest returns the version of the latest change.
+func (f *mirrorFleet) newest() uint64 {
+	v := uint64(0)
+	for _, r := range f.rows {
+		v = max(v, r.Version)
+	}
+	return v
+}
+
+func (x *mirrorNode) answer(after uint64, all bool, sentAt time.Duration) {
+	x.reads++
+	if x.f.storeDown || x.cutOff {
+		x.f.After(time.Second, func() { x.step(platform.ReadFailed{Table: "t"}) })
+		return
+	}
+	e := platform.RowsRead{Table: "t", Version: x.f.version, All: all, SentAt: sentAt}
+	for _, r := range x.f.rows {
+		if r.Version > after && (!all || !r.Deleted) {
+			e.Rows = append(e.Rows, r)
+			x.f.storeBytes[x.region] += len(r.Value)
+		}
+	}
+	x.step(e)
+}
+
+func (f *mirrorFleet) put(key string, value []byte) {
+	f.version++
+	f.rows[key] = platform.Row{Key: key, Value: value, Version: f.version, Deleted: value == nil}
+}
+
+// assertCopies checks that the copies of all living nodes equal the table.
+func (f *mirrorFleet) assertCopies(c *qt.C) {
+	c.Helper()
+	for _, x := range f.nodes {
+		for k, r := range f.rows {
+			if o := x.rows[k]; x.alive && (o.Deleted != r.Deleted || !bytes.Equal(o.Value, r.Value)) {
+				c.Fatalf("%s: row %s of version %d differs from version %d of the store", x.name, k, o.Version, r.Version)
+			}
+		}
+	}
+}
+
+// routeValue returns a value like a configuration with a number of routes, in which each version changes one route.
+func routeValue(routes, version int) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"Version":%d,"Routes":[`, version)
+	for i := range routes {
+		timeout := 8000
+		if i == version%routes {
+			timeout += version
+		}
+		fmt.Fprintf(&b, `{"Name":"r-%x","Host":"h%x","Kind":"primary","TimeoutMs":%d,"Service":"db%d"},`, i*7919, i*104729, timeout, i%97)
+	}
+	return b.Bytes()
+}
+
+// TestMirrorAtTargetSize guards against tables that each node reads from the store: at the size of two years from now, one
+// configuration would occupy the links between regions for minutes.
+func TestMirrorAtTargetSize(t *testing.T) {
+	c := qt.New(t)
+	const regions, perRegion, routes = 3, 1133, 200
+	f := newMirrorFleet(c, 1, regions, perRegion)
+	f.put("config", routeValue(routes, 1))
+	f.Run(5 * time.Second)
+	f.assertCopies(c)
+	clear(f.storeBytes)
+	for _, x := range f.nodes {
+		x.sent = 0
+	}
+	const changes, interval = 4, 7200 * time.Millisecond
+	for v := range changes {
+		at := f.Now()
+		value := routeValue(routes, v+2)
+		f.put("config", value)
+		f.Run(at + inForceTarget)
+		f.assertCopies(c)
+		f.Run(at + interval)
+	}
+	for region, n := range f.storeBytes {
+		c.Check(n <= changes*3*len(routeValue(routes, 9)), qt.IsTrue, qt.Commentf("region %s read %d bytes from the store", region, n))
+	}
+	most, total := 0, 0
+	for _, x := range f.nodes {
+		most, total = max(most, x.sent), total+x.sent
+	}
+	seconds := changes * interval.Seconds()
+	c.Logf("%.0f bytes per second and node on average, %.0f at most", float64(total)/seconds/float64(len(f.nodes)),
+		float64(most)/seconds)
+	c.Check(float64(most)/seconds <= controlBytesTarget, qt.IsTrue)
+}
+
+// TestMirrorFailures guards against nodes that miss a change when the nodes that they hear from are lost.
+func TestMirrorFailures(t *testing.T) {
+	for _, k := range []struct {
+		name string
+		fail func(f *mirrorFleet)
+	}{
+		{"all readers are lost", func(f *mirrorFleet) { f.stopReaders() }},
+		{"the readers are cut off from the store", func(f *mirrorFleet) {
+			for _, x := range f.readers() {
+				x.cutOff = true
+			}
+		}},
+		{"a third of all nodes is lost", func(f *mirrorFleet) {
+			for i := 0; i < len(f.nodes); i += 3 {
+				f.nodes[i].alive = false
+			}
+		}},
+		{"nine of ten nodes are lost", func(f *mirrorFleet) {
+			for i := range f.nodes {
+				f.nodes[i].alive = i%10 == 0
+			}
+		}},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newMirrorFleet(c, 2, 2, 40)
+			f.put("config", routeValue(50, 1))
+			f.Run(10 * time.Second)
+			k.fail(f)
+			f.put("config", routeValue(50, 2))
+			f.put("gone", nil)
+			f.Run(10*time.Second + inForceTarget)
+			for _, x := range f.nodes {
+				x.alive = x.alive && !x.cutOff
+			}
+			f.assertCopies(c)
+		})
+	}
+	t.Run("a node that is added gets a copy without reading the store", func(t *testing.T) {
+		c := qt.New(t)
+		f := newMirrorFleet(c, 3, 1, 40)
+		f.put("config", routeValue(50, 1))
+		f.Run(5 * time.Second)
+		x := f.nodes[17]
+		for slices.Contains(f.readers(), x) {
+			x = f.nodes[slices.Index(f.nodes, x)+1]
+		}
+		x.reads = 0
+		x.start(c)
+		f.assignSources()
+		f.Run(f.Now() + 400*time.Millisecond)
+		f.assertCopies(c)
+		c.Assert(x.reads, qt.Equals, 0)
+	})
+	t.Run("the store is away", func(t *testing.T) {
+		c := qt.New(t)
+		f := newMirrorFleet(c, 4, 2, 20)
+		f.put("config", routeValue(50, 1))
+		f.Run(5 * time.Second)
+		f.storeDown = true
+		f.put("config", routeValue(50, 2))
+		f.Run(20 * time.Second)
+		f.storeDown = false
+		f.Run(20*time.Second + inForceTarget)
+		f.assertCopies(c)
+	})
+}
+
+func (f *mirrorFleet) readers() []*mirrorNode {
+	var members []peer.Update
+	regions := map[string][]peer.Update{}
+	for _, x := range f.nodes {
+		regions[x.region] = append(regions[x.region], peer.Update{Name: x.name, Zone: x.region})
+	}
+	var out []*mirrorNode
+	for _, members = range regions {
+		for _, n := range peer.StoreReaders(members) {
+			out = append(out, f.byName[n])
+		}
+	}
+	return out
+}
+
+func (f *mirrorFleet) stopReaders() {
+	for _, x := range f.readers() {
+		x.alive = false
+	}
+}
