--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -8,6 +8,7 @@
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/platform"
+	"buckthornport.example/buckthornport/internal/table"
 	"buckthornport.example/buckthornport/internal/upstream"
 	"buckthornport.example/buckthornport/pkg/bundle"
 )
@@ -37,7 +38,8 @@
 // maxRounds bounds how often the packages exchange events within one step.
 const maxRounds = 4
 
-// Node makes all control decisions of one node. Each step runs peers, bundles, upstreams and audit in this order.
+// Node makes all control decisions of one node. Each step runs the mirror, peers, bundles, upstreams and audit in this
+// order.
 type Node struct {
 	// WallTime converts the time since the node's start to a date. Only audit records use it.
 	WallTime func(elapsed time.Duration) time.Time
@@ -46,6 +48,8 @@
 	// GossipBundles makes peers pass accepted bundles on. It is off where all nodes read bundles from one store, because
 	// gossip would then cost more than it gains.
 	GossipBundles bool
+	// Mirror, if not nil, holds the node's copies of tables of the platform's store.
+	Mirror *platform.Mirror
 
 	watch       *upstream.Watch
 	members     *peer.Membership
@@ -79,8 +83,30 @@
 // Step handles the events since the last step. It returns the actions to perform and the time by which it must run again.
 func (n *Node) Step(now time.Duration, es []Event) ([]Action, time.Duration) {
 	n.actions = nil
+	es, wakeMirror := n.runMirror(now, es)
 	es, wakeList := n.runDirectory(now, es)
-	return n.actions, min(n.runRounds(now, es, true), wakeList)
+	return n.actions, min(n.runRounds(now, es, true), wakeList, wakeMirror)
+}
+
+// runMirror passes the mirror its events and returns the others.
+func (n *Node) runMirror(now time.Duration, es []Event) ([]Event, time.Duration) {
+	if n.Mirror == nil {
+		return es, table.Never
+	}
+	var own []platform.MirrorEvent
+	var rest []Event
+	for _, e := range es {
+		if m, ok := e.(platform.MirrorEvent); ok {
+			own = append(own, m)
+		} else {
+			rest = append(rest, e)
+		}
+	}
+	as, wake := n.Mirror.Step(now, own)
+	for _, a := range as {
+		n.actions = append(n.actions, a)
+	}
+	return rest, wake
 }
 
 // runDirectory converts events about the platform's server list to events for the watch.
--- a/internal/control/thread.go
+++ b/internal/control/thread.go
@@ -49,6 +49,14 @@
 	MembersChanged func(a peer.MembersChanged)
 	// ServerChanged reports a server that was added to the platform's server list, changed in it or removed from it.
 	ServerChanged func(c platform.ServerChange)
+	// ReadTable and ReadChanges read a table of the platform's store. HistoryGone reports whether an error of ReadChanges shows that
+	// the store no longer has the changes that were asked for. SendTable sends a message about a table to a peer, and TableChanged
+	// applies changed rows. Only nodes with a Mirror need these functions.
+	ReadTable    func(ctx context.Context, a platform.ReadTable) (platform.RowsRead, error)
+	ReadChanges  func(ctx context.Context, a platform.ReadChanges) (platform.RowsRead, error)
+	HistoryGone  func(err error) bool
+	SendTable    func(a platform.SendTable)
+	TableChanged func(a platform.TableChanged)
 	// LogAuditRecord writes an audit record to the node's own log.
 	LogAuditRecord func(r operator.Record)
 
@@ -117,6 +125,8 @@
 		t.MembersChanged(a)
 	case platform.PutRecords:
 		go t.putRecords(a)
+	case platform.MirrorAction:
+		t.performMirror(a)
 	case BundleAdopted:
 		t.AdoptBundle(a.Bundle, a.Encoded)
 	case platform.ServerChange:
@@ -126,6 +136,35 @@
 	}
 }
 
+func (t *Thread) performMirror(a platform.MirrorAction) {
+	sentAt := t.loop.Clock()
+	switch a := a.(type) {
+	case platform.ReadTable:
+		go func() {
+			r, err := t.ReadTable(t.ctx, a)
+			t.finishRead(a.Table, sentAt, r, err)
+		}()
+	case platform.ReadChanges:
+		go func() {
+			r, err := t.ReadChanges(t.ctx, a)
+			t.finishRead(a.Table, sentAt, r, err)
+		}()
+	case platform.SendTable:
+		t.SendTable(a)
+	case platform.TableChanged:
+		t.TableChanged(a)
+	}
+}
+
+func (t *Thread) finishRead(name string, sentAt time.Duration, r platform.RowsRead, err error) {
+	if err != nil {
+		t.Post(platform.ReadFailed{Table: name, HistoryGone: t.HistoryGone(err)})
+		return
+	}
+	r.Table, r.SentAt = name, sentAt
+	t.Post(r)
+}
+
 func (t *Thread) withTimeout(d time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(t.ctx, d)
 }
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"buckthornport.example/buckthornport/internal/peer"
+	"buckthornport.example/buckthornport/internal/platform"
 	"buckthornport.example/buckthornport/internal/traffic"
 )
 
@@ -32,6 +33,7 @@
 // Link sends and receives messages. A message that cannot be sent in time is dropped, which the gossip protocol tolerates.
 type Link struct {
 	receive         func(m peer.Message)
+	receiveTable    func(from string, t platform.TableMessage)
 	tls             func() *tls.Config
 	countBytes      func(zone string, bytes int)
 	handleJobs      func(a ReplySender) JobHandlers
@@ -66,7 +68,8 @@
 // New returns a link that passes incoming messages to receive. The error is that of an option.
 func New(receive func(m peer.Message), opts ...Option) (*Link, error) {
 	l := &Link{
-		receive: receive, conns: map[string]*peerConn{}, inbound: map[net.Conn]bool{},
+		receive: receive, receiveTable: func(string, platform.TableMessage) {},
+		conns: map[string]*peerConn{}, inbound: map[net.Conn]bool{},
 		tls: func() *tls.Config { return nil }, countBytes: func(string, int) {},
 	}
 	for _, o := range opts {
@@ -143,7 +146,15 @@
 			l.serveJobs(stream, r)
 			return
 		}
-		l.receive(decode(&p))
+		if p.Table == nil {
+			l.receive(decode(&p))
+			continue
+		}
+		t, err := decodeTable(p.Table)
+		if err != nil {
+			return
+		}
+		l.receiveTable(p.From, t)
 	}
 }
 
@@ -154,18 +165,28 @@
 
 // Send queues a message. It never blocks, and drops the message if the queue is full.
 func (l *Link) Send(a peer.Send) {
+	l.enqueue(a.Address, outgoing{zone: a.Zone, encode: func() (*Message, error) { return encode(a.Message), nil }})
+}
+
+// outgoing is a queued message to a node in a zone. It is encoded when it is sent.
+type outgoing struct {
+	zone   string
+	encode func() (*Message, error)
+}
+
+func (l *Link) enqueue(address string, m outgoing) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n, ok := l.conns[a.Address]
+	n, ok := l.conns[address]
 	if !ok && !l.closed {
-		n = newPeerConn(l, a.Address)
-		l.conns[a.Address] = n
+		n = newPeerConn(l, address)
+		l.conns[address] = n
 	}
 	if n == nil {
 		return
 	}
 	select {
-	case n.queue <- a:
+	case n.queue <- m:
 	default:
 		l.messagesDropped.Add(1)
 	}
@@ -188,13 +209,13 @@
 type peerConn struct {
 	link    *Link
 	address string
-	queue   chan peer.Send
+	queue   chan outgoing
 	ctx     context.Context
 	stop    context.CancelFunc
 }
 
 func newPeerConn(l *Link, address string) *peerConn {
-	n := &peerConn{link: l, address: address, queue: make(chan peer.Send, peerQueueLength)}
+	n := &peerConn{link: l, address: address, queue: make(chan outgoing, peerQueueLength)}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	go n.run()
 	return n
@@ -231,7 +252,7 @@
 				n.stop()
 				return
 			}
-		case a := <-n.queue:
+		case m := <-n.queue:
 			idle.Reset(connIdleTimeout)
 			var err error
 			if stream == nil {
@@ -241,7 +262,7 @@
 					continue
 				}
 			}
-			if err := n.write(stream, a); err != nil {
+			if err := n.write(stream, m); err != nil {
 				closeAll()
 				stream, closeAll = nil, nil
 				n.link.messagesDropped.Add(1)
@@ -250,13 +271,17 @@
 	}
 }
 
-func (n *peerConn) write(stream net.Conn, a peer.Send) error {
+func (n *peerConn) write(stream net.Conn, m outgoing) error {
+	p, err := m.encode()
+	if err != nil {
+		return err
+	}
 	if err := stream.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	k, err := protodelim.MarshalTo(stream, encode(a.Message))
+	k, err := protodelim.MarshalTo(stream, p)
 	n.link.bytesSent.Add(int64(k))
-	n.link.countBytes(a.Zone, k)
+	n.link.countBytes(m.zone, k)
 	return err
 }
 
