Fleet: show the store's era; the stand-in's store can come back from a copy

Cause: logs and metrics don't show the store's era, so that a change that was missed after a restore, a lease that is gone and an entry that went back look like faults of their own. Change: the client of the store notes Store-Era; record dependency/restored with both eras, store_era in metrics and /status. No decision reads it. The stand-in gets Restore: content and versions go back, the era rises, reads from a version that it doesn't have get 410.

--- a/internal/fleet/log.go
+++ b/internal/fleet/log.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,6 +33,15 @@
 	n.writeAuditRecord(r)
 }
 
+// auditEra writes an audit record when the store has come back from a copy that lacks its last changes.
+func (n *Node) auditEra(previous, era uint64) {
+	if previous == 0 {
+		return
+	}
+	n.writeAuditRecord(operator.Record{Kind: operator.KindDependency, Server: "store", Cause: "restored"}.
+		WithEvidence("before", strconv.FormatUint(previous, 10)).WithEvidence("era", strconv.FormatUint(era, 10)))
+}
+
 func (n *Node) wallTime(elapsed time.Duration) time.Time {
 	return n.start.Add(elapsed).UTC()
 }
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -30,6 +30,7 @@
 	StoreCalls           int64              `json:"store_calls"`
 	StoreCallsFailed     int64              `json:"store_calls_failed"`
 	StoreBytesReceived   int64              `json:"store_bytes_received"`
+	StoreEra             uint64             `json:"store_era"`
 	LogRecordsSuppressed uint64             `json:"log_records_left_out"`
 	LogLinesDropped      uint64             `json:"log_lines_dropped"`
 	Lanes                []traffic.Snapshot `json:"lanes"`
@@ -45,6 +46,7 @@
 		UptimeMS: n.clock().Milliseconds(), Sessions: n.listener.SessionCount(), ConnectionsAccepted: n.listener.Stats().Accepted.Load(),
 		ConnectionsRejected: n.listener.Stats().Rejected.Load(), LogRecordsSuppressed: n.limiter.TotalSuppressed(),
 		LogLinesDropped: n.droppedLogLines(), StoreBytesReceived: n.store.BytesReceived(),
+		StoreEra: n.store.Era(),
 	}
 	s.PeerBytesSent, s.PeerMessagesDropped = n.link.Counts()
 	s.StoreCalls, s.StoreCallsFailed = n.store.Counts()
@@ -114,6 +116,7 @@
 	t.Line("store_calls_total", s.StoreCalls)
 	t.Line("store_calls_failed_total", s.StoreCallsFailed)
 	t.Line("store_bytes_received_total", s.StoreBytesReceived)
+	t.Line("store_era", s.StoreEra)
 	t.Line("log_records_left_out_total", s.LogRecordsSuppressed)
 	t.Line("log_lines_dropped_total", s.LogLinesDropped)
 	t.Bytes("server", &n.serverBytes)
--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -20,10 +20,12 @@
 	version uint64
 	// oldestVersion is the version from which the history is complete.
 	oldestVersion uint64
-	rows          map[rowKey]row
-	history       []row
-	faults        StoreFaults
-	groups        map[string]*group
+	// era counts the restores of the store, from one on.
+	era     uint64
+	rows    map[rowKey]row
+	history []row
+	faults  StoreFaults
+	groups  map[string]*group
 	// lastTokens holds the fencing token of the latest promotion order for each service.
 	lastTokens map[string]uint64
 	calls      map[string]int
@@ -55,7 +57,7 @@
 // New returns a platform without rows or groups.
 func New() *Platform {
 	return &Platform{
-		start: time.Now(), changed: make(chan struct{}), rows: map[rowKey]row{}, groups: map[string]*group{},
+		start: time.Now(), era: 1, changed: make(chan struct{}), rows: map[rowKey]row{}, groups: map[string]*group{},
 		lastTokens: map[string]uint64{}, calls: map[string]int{},
 	}
 }
@@ -145,6 +147,7 @@
 		f := p.faults
 		p.calls[r.URL.Path]++
 		p.mu.Unlock()
+		p.setEra(w)
 		if f.Delay > 0 {
 			select {
 			case <-r.Context().Done():
@@ -175,28 +178,35 @@
 		}
 		return 1
 	})
-	body := p.encodeRows(out)
+	a := p.encodeRows(out)
 	p.mu.Unlock()
-	writeBody(w, http.StatusOK, body)
+	a.write(w, http.StatusOK)
 }
 
 // encodeRows encodes an answer with rows, the current version and the store time. p.mu must be held.
-func (p *Platform) encodeRows(rows []wireRow) []byte {
+func (p *Platform) encodeRows(rows []wireRow) answer {
 	body, err := json.Marshal(map[string]any{
 		"rows": rows, "HasMore": false, "RowVersion": p.version, "NowMs": time.Since(p.start).Milliseconds(),
 	})
 	if err != nil {
 		panic(err)
 	}
-	return body
+	return answer{body: body, era: p.era}
 }
 
-// writeBody writes an answer. It must be called without the platform's lock, as a slow requester or link delays it.
-func writeBody(w http.ResponseWriter, status int, body []byte) {
+// answer is the body of an answer and the era of the store in which it was made.
+type answer struct {
+	body []byte
+	era  uint64
+}
+
+// write writes an answer. It must be called without the platform's lock, as a slow requester or link delays it.
+func (a answer) write(w http.ResponseWriter, status int) {
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(headerEra, strconv.FormatUint(a.era, 10))
 	w.WriteHeader(status)
 	// A failed write means that the requester has disconnected, which needs no handling.
-	_, _ = w.Write(body)
+	_, _ = w.Write(a.body)
 }
 
 // serveFeed answers with the changes of a table after a version. If there are none, it waits for one up to WaitMs.
@@ -211,8 +221,9 @@
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		p.mu.Lock()
-		if after+1 < p.oldestVersion {
+		if after+1 < p.oldestVersion || after > p.version {
 			p.mu.Unlock()
+			p.setEra(w)
 			w.WriteHeader(http.StatusGone)
 			return
 		}
@@ -224,9 +235,9 @@
 		}
 		changed := p.changed
 		if len(out) > 0 {
-			body := p.encodeRows(out)
+			a := p.encodeRows(out)
 			p.mu.Unlock()
-			writeBody(w, http.StatusOK, body)
+			a.write(w, http.StatusOK)
 			return
 		}
 		p.mu.Unlock()
@@ -235,9 +246,9 @@
 			return
 		case <-deadline:
 			p.mu.Lock()
-			body := p.encodeRows([]wireRow{})
+			a := p.encodeRows([]wireRow{})
 			p.mu.Unlock()
-			writeBody(w, http.StatusOK, body)
+			a.write(w, http.StatusOK)
 			return
 		case <-changed:
 		}
@@ -254,12 +265,12 @@
 	p.mu.Lock()
 	status, rows := p.apply(t)
 	lost := p.faults.LoseAnswers && status == http.StatusOK
-	body := p.encodeRows(rows)
+	a := p.encodeRows(rows)
 	p.mu.Unlock()
 	if lost {
 		panic(http.ErrAbortHandler)
 	}
-	writeBody(w, status, body)
+	a.write(w, status)
 }
 
 // transaction is the body of a call to /rows-tx.
