Fleet: failing tests of a store that comes back from a copy

Cause: reads resume at versions that mean something else now; what servers wrote goes back; leases and rows of members are gone. The stand-in now also counts the same token from two holders, and orders of two holders within 3 s, as violations.

--- /dev/null
+++ b/internal/fleet/restore_test.go
@@ -0,0 +1,154 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"buckthornport.example/buckthornport/internal/standin/metadata"
+)
+
+// restoreConfirmTime is longer than the time between two confirmations, after which the nodes have read all that was written.
+const restoreConfirmTime = 1500 * time.Millisecond
+
+func newRoute(version int) []byte {
+	return fmt.Appendf(nil, config, version, fmt.Sprintf(`,{"Name":"n","Host":"new%d","Kind":"primary","Service":"books"}`, version))
+}
+
+// TestChangesAfterRestore guards against configurations that nodes miss because the store gives versions out again.
+func TestChangesAfterRestore(t *testing.T) {
+	t.Run("a change below the version that the nodes have read", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 3)
+		copied := d.platform.Version()
+		for i := range 10 {
+			d.platform.Put("noise", fmt.Sprint(i), nil)
+		}
+		time.Sleep(restoreConfirmTime)
+		d.platform.Restore(copied, func(put func(table, key string, value []byte)) {
+			put("op", "config", newRoute(5))
+			for i := range 20 {
+				put("noise", fmt.Sprint(i), nil)
+			}
+		})
+		assertInForce(c, d, 5, time.Now().Add(configTarget))
+	})
+	t.Run("a change while the store is below the version that the nodes have read", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 3)
+		copied := d.platform.Version()
+		for i := range 10 {
+			d.platform.Put("noise", fmt.Sprint(i), nil)
+		}
+		time.Sleep(restoreConfirmTime)
+		d.platform.Restore(copied, nil)
+		time.Sleep(restoreConfirmTime)
+		d.platform.Put("op", "config", newRoute(5))
+		assertInForce(c, d, 5, time.Now().Add(configTarget))
+	})
+	t.Run("a node that starts gets the configuration that the store has lost", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 3)
+		copied := d.platform.Version()
+		d.platform.Put("op", "config", newRoute(5))
+		assertInForce(c, d, 5, time.Now().Add(configTarget))
+		d.platform.Restore(copied, nil)
+		time.Sleep(restoreConfirmTime)
+		d.startNode(c, "added", "a")
+		d.awaitReady(c)
+		assertInForce(c, d, 5, time.Now().Add(configTarget))
+	})
+}
+
+// TestServersAfterRestore guards against requests to a server that is leaving or gone and that the restored list names as ready.
+func TestServersAfterRestore(t *testing.T) {
+	for _, k := range []struct {
+		name   string
+		change func(d *deployment)
+		listed bool
+	}{
+		{"a server that is leaving", func(d *deployment) { d.platform.ChangeServer("books", 2, metadata.Drain()) }, true},
+		{"a server that is gone", func(d *deployment) { d.platform.Delete("servers", "i-books-3") }, false},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := startDeployment(c, 2)
+			usable := func(n *Node) bool {
+				s, ok := n.view("books").Server("i-books-3")
+				return ok && !s.Leaving
+			}
+			copied := d.platform.Version()
+			k.change(d)
+			for _, n := range d.nodes {
+				waitUntil(c, "the server is out of use", func() bool { return !usable(n) })
+			}
+			d.platform.Restore(copied, nil)
+			for end := time.Now().Add(2 * restoreConfirmTime); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				for _, n := range d.nodes {
+					c.Assert(usable(n), qt.IsFalse, qt.Commentf("%s uses the server again", n.settings.Node))
+				}
+			}
+		})
+	}
+}
+
+// TestOrdersAfterRestore guards against fencing tokens that fall or are given out twice, and against orders of two nodes at a time,
+// when the store has lost the lease under which the last order was given.
+func TestOrdersAfterRestore(t *testing.T) {
+	c := qt.New(t)
+	d := startDeployment(c, 3)
+	copied := d.platform.Version()
+	assertAnswers(connect(c, d.nodes[0], "ledger"), "WRITE a 1", nil, "I")
+	d.platform.ChangeServer("books", 0, metadata.Down(true))
+	waitUntil(c, "another server is primary", func() bool {
+		n, _ := d.platform.Primary("books")
+		return n > 0
+	})
+	holder := d.platform.LastHolder("books")
+	var left []*Node
+	for _, n := range d.nodes {
+		if n.settings.Node == holder {
+			n.Stop()
+		} else {
+			left = append(left, n)
+		}
+	}
+	d.nodes = left
+	d.platform.ChangeServer("books", 0, metadata.Down(false))
+	for _, n := range d.nodes {
+		waitUntil(c, "every node knows the new primary", func() bool { return n.view("books").Term > 1 })
+	}
+	d.platform.Restore(copied, nil)
+	primary, _ := d.platform.Primary("books")
+	d.platform.ChangeServer("books", primary, metadata.Down(true))
+	waitUntil(c, "a third server is primary", func() bool {
+		n, term := d.platform.Primary("books")
+		return n >= 0 && n != primary && term > 2
+	})
+	c.Assert(d.platform.LastHolder("books"), qt.Not(qt.Equals), holder)
+	assertAnswers(connect(c, d.nodes[0], "ledger"), "READ a", []string{"1"}, "I")
+	assertNoViolations(c, d)
+}
+
+// TestMembersAfterRestore guards against nodes that start and do not find the others, whose rows the store has lost.
+func TestMembersAfterRestore(t *testing.T) {
+	c := qt.New(t)
+	d := startPlatform(c)
+	copied := d.platform.Version()
+	for i := range 3 {
+		d.startNode(c, fmt.Sprintf("node-%d", i+1), "a")
+	}
+	d.awaitReady(c)
+	registered := func(n *Node) func() bool {
+		return func() bool { return d.platform.Value(tableMembers, n.settings.Peer) != nil }
+	}
+	for _, n := range d.nodes {
+		waitUntil(c, "the node is registered", registered(n))
+	}
+	d.platform.Restore(copied, nil)
+	for _, n := range d.nodes {
+		waitUntil(c, "the node is registered again", registered(n))
+	}
+}
--- a/internal/standin/metadata/group.go
+++ b/internal/standin/metadata/group.go
@@ -229,7 +229,41 @@
 	}
 }
 
-// serveFailover handles a promotion order. A fencing token lower than the previous one is a violation.
+// order is a promotion order as the platform got it.
+type order struct {
+	holder string
+	token  uint64
+	at     time.Time
+}
+
+// minHandover is the time within which orders of two holders for one service are a violation.
+const minHandover = 3 * time.Second
+
+// checkOrder reports violations by the order o after the order last.
+func (p *Platform) checkOrder(service string, last, o order) {
+	var violation string
+	switch {
+	case o.token < last.token:
+		violation = "a lower token"
+	case o.holder != last.holder && o.token == last.token:
+		violation = "the same token"
+	case o.holder != last.holder && o.at.Sub(last.at) < minHandover:
+		violation = "orders in quick succession"
+	default:
+		return
+	}
+	p.violations = append(p.violations, fmt.Sprintf("%s for service %s: %s with token %d, then %s with token %d after %v", violation,
+		service, last.holder, last.token, o.holder, o.token, o.at.Sub(last.at)))
+}
+
+// LastHolder returns the holder that gave the last promotion order for a service.
+func (p *Platform) LastHolder(service string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lastOrders[service].holder
+}
+
+// serveFailover handles a promotion order.
 func (p *Platform) serveFailover(w http.ResponseWriter, r *http.Request) {
 	var body struct{ Service, Id string } //nolint:revive // the platform's spelling
 	token, err := strconv.ParseUint(r.Header.Get("X-Fencing-Token"), 10, 64)
@@ -239,11 +273,11 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if token < p.lastTokens[body.Service] {
-		p.violations = append(p.violations, fmt.Sprintf(
-			"fencing token %d after %d for service %s", token, p.lastTokens[body.Service], body.Service))
+	o := order{holder: r.Header.Get("X-Lease-Holder"), token: token, at: time.Now()}
+	if last, ok := p.lastOrders[body.Service]; ok {
+		p.checkOrder(body.Service, last, o)
 	}
-	p.lastTokens[body.Service] = token
+	p.lastOrders[body.Service] = o
 	g := p.groups[body.Service]
 	if g == nil {
 		w.WriteHeader(http.StatusNotFound)
--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -26,8 +26,8 @@
 	history []row
 	faults  StoreFaults
 	groups  map[string]*group
-	// lastTokens holds the fencing token of the latest promotion order for each service.
-	lastTokens map[string]uint64
+	// lastOrders holds the latest promotion order for each service.
+	lastOrders map[string]order
 	calls      map[string]int
 	violations []string
 }
@@ -58,7 +58,7 @@
 func New() *Platform {
 	return &Platform{
 		start: time.Now(), era: 1, changed: make(chan struct{}), rows: map[rowKey]row{}, groups: map[string]*group{},
-		lastTokens: map[string]uint64{}, calls: map[string]int{},
+		lastOrders: map[string]order{}, calls: map[string]int{},
 	}
 }
 
