Platform, fleet: versions of the store count within an era only

Cause: the version up to which a table was read was kept over a restore, after which the store gives the same numbers out again. A read from it gets 410 as long as the store is behind, copies of other nodes look newer than the store's, and once the store has passed it, changes below it are skipped for good. Change: a copy, its messages and the store's answers carry the era. An answer of a later era to a read of changes has the whole table read; versions, deltas and histories of deletions are not compared over eras; a copy of a later era goes before any of an earlier one. A node asks others for their copies at its start also if it reads the store itself.

--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -98,7 +98,9 @@
 }
 
 func rowsRead(rs platform.Rows, all bool) listing.RowsRead {
-	r := listing.RowsRead{Version: rs.Version, All: all, Rows: make([]listing.Row, 0, len(rs.Rows)), Transfer: rs.Transfer}
+	r := listing.RowsRead{
+		Era: rs.Era, Version: rs.Version, All: all, Rows: make([]listing.Row, 0, len(rs.Rows)), Transfer: rs.Transfer,
+	}
 	for _, v := range rs.Rows {
 		r.Rows = append(r.Rows, listing.Row{Key: v.Key, Value: v.Value, Version: v.Version, Deleted: v.Deleted})
 	}
--- a/internal/peerlink/tables.go
+++ b/internal/peerlink/tables.go
@@ -39,8 +39,8 @@
 
 func encodeTable(self string, t platform.TableMessage) (*Message, error) {
 	p := &TableMessage{
-		Kind: uint32(t.Kind), Table: t.Table, Version: t.Version, LastChange: t.LastChange, AgeUs: uint64(max(0, t.Age.Microseconds())),
-		After: t.After, All: t.All,
+		Kind: uint32(t.Kind), Table: t.Table, Era: t.Era, Version: t.Version, LastChange: t.LastChange,
+		AgeUs: uint64(max(0, t.Age.Microseconds())), After: t.After, All: t.All,
 	}
 	rs := &TableRows{}
 	for _, r := range t.Rows {
@@ -61,7 +61,7 @@
 
 func decodeTable(p *TableMessage) (platform.TableMessage, error) {
 	t := platform.TableMessage{
-		Kind: platform.TableMessageKind(p.Kind), Table: p.Table, Version: p.Version, LastChange: p.LastChange,
+		Kind: platform.TableMessageKind(p.Kind), Table: p.Table, Era: p.Era, Version: p.Version, LastChange: p.LastChange,
 		Age: time.Duration(p.AgeUs) * time.Microsecond, After: p.After, All: p.All,
 	}
 	raw := p.Rows
--- a/internal/platform/mirror.go
+++ b/internal/platform/mirror.go
@@ -37,6 +37,10 @@
 	ConfirmTimeout time.Duration
 	// BatchDelay is the delay of the next read after one that returned changes, which come in bursts.
 	BatchDelay time.Duration
+	// CompareAge, if not nil, compares the ages of two values of a row by their writer's own numbering: a negative result means that
+	// a was written before b, zero that this is unknown or that they are equally old. Where the store has lost a later value, the
+	// copy keeps it until the writer writes the row again.
+	CompareAge func(a, b []byte) int
 }
 
 // Mirror holds this node's copies of tables of the platform's store, and decides where their changes are read. A few nodes of each
@@ -123,7 +127,8 @@
 	}
 }
 
-// assignSources applies a change of the readers and successors. A node without a copy asks some of its successors for theirs.
+// assignSources applies a change of the readers and successors. A node that starts asks some of its successors for their copies, also
+// if it reads the store itself: they may hold what the store has lost.
 func (m *Mirror) assignSources(now time.Duration, e SourcesAssigned) {
 	first := !m.assigned
 	becameReader := e.Reader && !m.sources.Reader
@@ -135,9 +140,12 @@
 			m.schedule(c.WithReadAt(now))
 		case first:
 			m.schedule(c.WithReadAt(now + firstReadDelay + m.jitter(firstReadDelay)))
-			for _, p := range e.Successors[:min(firstRequests, len(e.Successors))] {
-				m.send(p, TableMessage{Kind: TableRequested, Table: k})
-			}
+		}
+		if !first {
+			continue
+		}
+		for _, p := range e.Successors[:min(firstRequests, len(e.Successors))] {
+			m.send(p, TableMessage{Kind: TableRequested, Table: k})
 		}
 	}
 }
@@ -167,13 +175,22 @@
 	}
 }
 
-// applyRead applies the store's answer to a read.
+// applyRead applies the store's answer to a read. In a new era of the store, its changes after a version of an earlier era mean nothing,
+// and the whole table is read.
 func (m *Mirror) applyRead(now time.Duration, e RowsRead) {
 	c, ok := m.copies.Get(e.Table)
 	if !ok {
 		return
 	}
 	c = c.WithReading(false).WithFailures(0)
+	switch {
+	case e.Era < c.Era:
+		m.schedule(c.WithReadAt(now + minReadInterval))
+		return
+	case e.Era > c.Era && !e.All:
+		m.schedule(c.WithKnown(false).WithReadAt(now))
+		return
+	}
 	lastChange := c.LastChange
 	if e.All {
 		lastChange = e.Version
@@ -181,7 +198,10 @@
 	for _, r := range e.Rows {
 		lastChange = max(lastChange, r.Version)
 	}
-	c, changed := m.update(c, e.Rows, e.All, max(e.Version, lastChange), lastChange)
+	c, changed := m.update(c, change{
+		rows: e.Rows, all: e.All, era: e.Era, version: max(e.Version, lastChange), lastChange: lastChange, source: SourceStore,
+		transfer: e.Transfer,
+	})
 	c = c.WithConfirmed(now)
 	switch {
 	case !m.sources.Reader:
@@ -192,9 +212,6 @@
 		c = c.WithReadAt(max(now, e.SentAt+minReadInterval))
 	}
 	m.schedule(c)
-	if changed {
-		m.reportChange(e.Table, e.Rows, e.All, SourceStore, e.Transfer)
-	}
 }
 
 // withNextRead returns the row of a copy with the time at which a node that is no reader reads the store unless the copy is
@@ -217,39 +234,94 @@
 	m.schedule(c.WithFailures(c.Failures + 1).WithReadAt(now + delay/2 + m.jitter(delay/2)))
 }
 
-// update applies rows to a copy: the whole table if all is set, and changes otherwise. The copy is then complete up to version. It
-// reports whether the table changed, and returns the copy unchanged if it is as new already.
-func (m *Mirror) update(c Copy, rs []Row, all bool, version, lastChange uint64) (Copy, bool) {
-	if c.Known && version < c.Version {
-		return c, false
-	}
+// change is a change of a copy: the whole table as of a version if all is set, and the changed rows up to that version otherwise.
+type change struct {
+	rows       []Row
+	all        bool
+	era        uint64
+	version    uint64
+	lastChange uint64
+	source     string
+	transfer   time.Duration
+}
+
+// update applies a change to a copy and reports whether the table changed. A copy that is as new already stays as it is, except for
+// rows of which the store has lost a later value.
+func (m *Mirror) update(c Copy, v change) (Copy, bool) {
+	stale := c.Known && (v.era < c.Era || v.era == c.Era && v.version < c.Version)
+	newEra := v.era != c.Era
 	rows := m.rows[c.Rules.Name]
 	changed := !c.Known
 	listed := map[string]bool{}
-	for _, r := range rs {
+	var applied []Row
+	for _, r := range v.rows {
 		listed[r.Key] = true
-		if old, ok := rows.Get(r.Key); !ok || old.Version < r.Version {
-			changed = true
-			m.put(c.Rules.Name, old, r)
+		old, ok := rows.Get(r.Key)
+		switch {
+		case stale && (newEra || !ok || r.Version > old.Version), !newEra && ok && !c.Rules.replaces(r, old):
+			continue
+		case newEra && ok:
+			r = c.Rules.latest(r, old)
 		}
+		changed = true
+		m.put(c.Rules.Name, old, r)
+		applied = append(applied, r)
 	}
-	if all {
-		for _, k := range rows.Keys() {
-			if !listed[k] {
-				changed = true
-				rows.Delete(k)
-			}
-		}
-		m.deleted[c.Rules.Name] = 0
-		c = c.WithHistoryFrom(version)
+	if stale {
+		m.reportChange(c, false, applied, v)
+		return c, changed
+	}
+	if newEra {
+		clear(m.changes[c.Rules.Name])
+	}
+	if v.all {
+		changed = m.deleteUnlisted(c, listed, v.version) || changed
+		c = c.WithHistoryFrom(v.version)
+		applied = m.listRows(c.Rules.Name)
 	}
 	rows.TakeDirty()
-	c = m.dropDeleted(c.WithKnown(true).WithVersion(version, max(c.LastChange, lastChange)))
-	m.changedNow[c.Rules.Name] = m.changedNow[c.Rules.Name] || changed
+	lastChange := v.lastChange
+	if !newEra {
+		lastChange = max(lastChange, c.LastChange)
+	}
+	c = m.dropDeleted(c.WithKnown(true).WithEra(v.era).WithVersion(v.version, lastChange))
+	if changed {
+		m.reportChange(c, v.all, applied, v)
+	}
 	return c, changed
 }
 
+// deleteUnlisted marks the rows that a whole table lacks as deleted, and reports whether there are any.
+func (m *Mirror) deleteUnlisted(c Copy, listed map[string]bool, version uint64) bool {
+	rows := m.rows[c.Rules.Name]
+	found := false
+	for _, k := range rows.Keys() {
+		if old, _ := rows.Get(k); !listed[k] && !old.Deleted {
+			found = true
+			m.put(c.Rules.Name, old, Row{Key: k, Version: version, Deleted: true})
+		}
+	}
+	return found
+}
+
+// listRows returns all rows of a table that are not deleted.
+func (m *Mirror) listRows(name string) []Row {
+	var out []Row
+	for _, k := range m.rows[name].Keys() {
+		if r, _ := m.rows[name].Get(k); !r.Deleted {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 func (m *Mirror) put(name string, old, r Row) {
+	if r.Deleted {
+		r.lastValue = old.Value
+		if old.Deleted {
+			r.lastValue = old.lastValue
+		}
+	}
 	m.rows[name].Put(r.Key, r)
 	switch {
 	case r.Deleted && !old.Deleted:
@@ -285,6 +357,11 @@
 	return c
 }
 
-func (m *Mirror) reportChange(name string, rs []Row, all bool, source string, transfer time.Duration) {
-	m.actions = append(m.actions, TableChanged{Table: name, Rows: rs, All: all, Source: source, Transfer: transfer})
+// reportChange reports rows of a copy that have changed, or all its rows if all is set.
+func (m *Mirror) reportChange(c Copy, all bool, rs []Row, v change) {
+	if !all && len(rs) == 0 {
+		return
+	}
+	m.changedNow[c.Rules.Name] = true
+	m.actions = append(m.actions, TableChanged{Table: c.Rules.Name, Rows: rs, All: all, Source: v.source, Transfer: v.transfer})
 }
--- a/internal/platform/mirror_peers.go
+++ b/internal/platform/mirror_peers.go
@@ -25,7 +25,9 @@
 // copy is older than this node's is told so.
 func (m *Mirror) receiveAnnouncement(now time.Duration, c Copy, from string, t TableMessage) {
 	switch {
-	case !c.Known || c.Version < t.LastChange:
+	case c.Known && t.Era < c.Era:
+		m.send(from, m.announcement(now, c))
+	case !c.Known || t.Era > c.Era || c.Version < t.LastChange:
 		if c.RequestedAt != 0 && now-c.RequestedAt < requestTimeout {
 			return
 		}
@@ -41,7 +43,7 @@
 func (m *Mirror) request(c Copy, from string) {
 	r := TableMessage{Kind: TableRequested, Table: c.Rules.Name}
 	if c.Known {
-		r.After = c.Version
+		r.Era, r.After = c.Era, c.Version
 	}
 	m.send(from, r)
 }
@@ -55,11 +57,14 @@
 	m.schedule(c)
 }
 
-// receiveRequest sends a node the changes that it lacks. A node that has no copy yet answers once it has one.
+// receiveRequest sends a node the changes that it lacks. A node that has no copy yet, or only one of an earlier era, answers once it
+// has one.
 func (m *Mirror) receiveRequest(now time.Duration, c Copy, from string, t TableMessage) {
 	switch {
-	case !c.Known:
+	case !c.Known || t.Era > c.Era:
 		m.copies.Put(t.Table, c.WithWaiting(from))
+	case t.Era < c.Era:
+		m.send(from, m.changesAfter(now, c, 0))
 	case t.After != 0 && t.After >= c.LastChange:
 		m.send(from, m.announcement(now, c))
 	default:
@@ -98,7 +103,7 @@
 // receiveRows applies rows that another node sent. If one is a delta to a value that this node does not have, it requests the whole
 // table.
 func (m *Mirror) receiveRows(now time.Duration, c Copy, from string, t TableMessage) {
-	if !t.All && (!c.Known || c.Version < t.After) {
+	if t.Era < c.Era || !t.All && (!c.Known || t.Era > c.Era || c.Version < t.After) {
 		return
 	}
 	rs := make([]Row, 0, len(t.Rows))
@@ -114,16 +119,12 @@
 		}
 		rs = append(rs, r)
 	}
-	requestedAt := c.RequestedAt
-	c, changed := m.update(c.WithRequest(0), rs, t.All, t.Version, t.LastChange)
-	m.confirm(now, c, now-t.Age)
-	if changed {
-		var transfer time.Duration
-		if requestedAt != 0 {
-			transfer = now - requestedAt
-		}
-		m.reportChange(t.Table, rs, t.All, from, transfer)
+	v := change{rows: rs, all: t.All, era: t.Era, version: t.Version, lastChange: t.LastChange, source: from}
+	if c.RequestedAt != 0 {
+		v.transfer = now - c.RequestedAt
 	}
+	c, _ = m.update(c.WithRequest(0), v)
+	m.confirm(now, c, now-t.Age)
 }
 
 // announce passes changes on to the successors at once, and confirmations when they have advanced by announceInterval.
@@ -148,7 +149,7 @@
 
 func (m *Mirror) announcement(now time.Duration, c Copy) TableMessage {
 	return TableMessage{
-		Kind: TableAnnounced, Table: c.Rules.Name, Version: c.Version, LastChange: c.LastChange, Age: now - c.ConfirmedAt,
+		Kind: TableAnnounced, Table: c.Rules.Name, Era: c.Era, Version: c.Version, LastChange: c.LastChange, Age: now - c.ConfirmedAt,
 	}
 }
 
--- a/internal/platform/mirror_rows.go
+++ b/internal/platform/mirror_rows.go
@@ -16,6 +16,32 @@
 	Deleted bool
 	// Delta is set in a message if Value is the difference to the value that the receiver has.
 	Delta bool
+	// lastValue is the value that a deleted row had.
+	lastValue []byte
+}
+
+// replaces reports whether a row replaces another of the same era: it is of a later version of the store, or of the same one and holds a
+// later value, which the store has lost.
+func (t TableRules) replaces(r, old Row) bool {
+	if r.Version != old.Version {
+		return r.Version > old.Version
+	}
+	return t.CompareAge != nil && !r.Deleted && !old.Deleted && t.CompareAge(r.Value, old.Value) > 0
+}
+
+// latest returns a row that was read in a new era of the store, or its remembered state if the store has lost that: a later value, or
+// its removal after the value that was read.
+func (t TableRules) latest(r, remembered Row) Row {
+	if t.CompareAge == nil || r.Deleted {
+		return r
+	}
+	switch {
+	case remembered.Deleted && remembered.lastValue != nil && t.CompareAge(r.Value, remembered.lastValue) <= 0:
+		r.Value, r.Deleted = nil, true
+	case !remembered.Deleted && t.CompareAge(r.Value, remembered.Value) < 0:
+		r.Value = remembered.Value
+	}
+	return r
 }
 
 // valueChange is the change of a large row's value. delta is the row in its shortest form for a copy that has the row from, and has
@@ -49,9 +75,11 @@
 // Copy is the row of a followed table: how far this node's copy of the table reaches.
 type Copy struct {
 	Rules TableRules
-	// Known is set once this node has a copy of the whole table. The copy holds all changes up to Version, a version of the whole
-	// store. LastChange is the version of the latest change of the table: every copy with at least this version is complete.
+	// Known is set once this node has a copy of the whole table in the era Era of the store; versions of different eras can't be
+	// compared. The copy holds all changes up to Version, a version of the whole store. LastChange is the version of the latest change
+	// of the table: every copy with at least this version is complete.
 	Known      bool
+	Era        uint64
 	Version    uint64
 	LastChange uint64
 	// HistoryFrom is the version after which the copy also knows the rows that were deleted.
@@ -78,6 +106,12 @@
 	return c
 }
 
+// WithEra returns the row in another era of the store.
+func (c Copy) WithEra(era uint64) Copy {
+	c.Era = era
+	return c
+}
+
 // WithVersion returns the row of a copy that is complete up to a version and holds a latest change.
 func (c Copy) WithVersion(version, lastChange uint64) Copy {
 	c.Version, c.LastChange = version, lastChange
@@ -150,8 +184,10 @@
 
 // TableMessage is a message between two nodes about their copies of a table.
 type TableMessage struct {
-	Kind       TableMessageKind
-	Table      string
+	Kind  TableMessageKind
+	Table string
+	// Era is the era of the store to which the versions of the message belong.
+	Era        uint64
 	Version    uint64
 	LastChange uint64
 	// Age is how long ago the sender's copy is known to have been complete.
@@ -174,6 +210,7 @@
 type RowsRead struct {
 	Table    string
 	Rows     []Row
+	Era      uint64
 	Version  uint64
 	All      bool
 	SentAt   time.Duration
