Platform, fleet: a later value that the store has lost stays until its writer writes again

What callers would see: requests to a server that is being drained, or that is gone, once a restored list names it as ready (DRAIN); an older configuration at a node that starts after a restore (CONFIG). Cause: what the store tells after a restore is older than what nodes know, and was taken as news. Change: CompareAge, a function of each table's rules, compares two values of a row by their writer's own numbering: the version of a configuration, start and Seq of an entry. A copy that enters a new era keeps the later value, or the removal after it, and hands it to nodes that start. Rows that are written in the new era replace it whatever their number. Weighed: the same in Directory and AcceptBundle, each for itself; nodes that start would then still learn only what the store tells.

--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -47,9 +47,11 @@
 		listing.WithMirrorJitter(tick.Jitter),
 		listing.WithTable(listing.TableRules{
 			Name: platform.TableConfig, ReadWait: configReadWait, ConfirmTimeout: configConfirmTimeout, BatchDelay: configBatchDelay,
+			CompareAge: platform.CompareConfigs,
 		}),
 		listing.WithTable(listing.TableRules{
 			Name: platform.TableServers, ReadWait: serversReadWait, ConfirmTimeout: serversConfirmTimeout, BatchDelay: serversBatchDelay,
+			CompareAge: platform.CompareEntries,
 		}))
 }
 
--- a/internal/fleet/restore_test.go
+++ b/internal/fleet/restore_test.go
@@ -65,18 +65,19 @@
 // TestServersAfterRestore guards against requests to a server that is leaving or gone and that the restored list names as ready.
 func TestServersAfterRestore(t *testing.T) {
 	for _, k := range []struct {
-		name   string
-		change func(d *deployment)
-		listed bool
+		name, group, server string
+		change              func(d *deployment)
 	}{
-		{"a server that is leaving", func(d *deployment) { d.platform.ChangeServer("books", 2, metadata.Drain()) }, true},
-		{"a server that is gone", func(d *deployment) { d.platform.Delete("servers", "i-books-3") }, false},
+		{"a server that is leaving", "books", "i-books-3", func(d *deployment) {
+			d.platform.ChangeServer("books", 2, metadata.Drain())
+		}},
+		{"a server that is gone", "books", "i-books-3", func(d *deployment) { d.platform.Delete("servers", "i-books-3") }},
 	} {
 		t.Run(k.name, func(t *testing.T) {
 			c := qt.New(t)
 			d := startDeployment(c, 2)
 			usable := func(n *Node) bool {
-				s, ok := n.view("books").Server("i-books-3")
+				s, ok := n.view(k.group).Server(k.server)
 				return ok && !s.Leaving
 			}
 			copied := d.platform.Version()
--- a/internal/platform/mirror.go
+++ b/internal/platform/mirror.go
@@ -127,8 +127,8 @@
 	}
 }
 
-// assignSources applies a change of the readers and successors. A node that starts asks some of its successors for their copies, also
-// if it reads the store itself: they may hold what the store has lost.
+// assignSources applies a change of the readers and successors. A node that starts asks some of its successors for their copies,
+// also if it reads the store itself: they may hold what the store has lost.
 func (m *Mirror) assignSources(now time.Duration, e SourcesAssigned) {
 	first := !m.assigned
 	becameReader := e.Reader && !m.sources.Reader
@@ -175,8 +175,8 @@
 	}
 }
 
-// applyRead applies the store's answer to a read. In a new era of the store, its changes after a version of an earlier era mean nothing,
-// and the whole table is read.
+// applyRead applies the store's answer to a read. In a new era of the store, its changes after a version of an earlier era mean
+// nothing, and the whole table is read.
 func (m *Mirror) applyRead(now time.Duration, e RowsRead) {
 	c, ok := m.copies.Get(e.Table)
 	if !ok {
--- a/internal/platform/mirror_peers.go
+++ b/internal/platform/mirror_peers.go
@@ -57,8 +57,8 @@
 	m.schedule(c)
 }
 
-// receiveRequest sends a node the changes that it lacks. A node that has no copy yet, or only one of an earlier era, answers once it
-// has one.
+// receiveRequest sends a node the changes that it lacks. A node that has no copy yet, or only one of an earlier era, answers once
+// it has one.
 func (m *Mirror) receiveRequest(now time.Duration, c Copy, from string, t TableMessage) {
 	switch {
 	case !c.Known || t.Era > c.Era:
--- a/internal/platform/mirror_rows.go
+++ b/internal/platform/mirror_rows.go
@@ -20,8 +20,8 @@
 	lastValue []byte
 }
 
-// replaces reports whether a row replaces another of the same era: it is of a later version of the store, or of the same one and holds a
-// later value, which the store has lost.
+// replaces reports whether a row replaces another of the same era: it is of a later version of the store, or of the same one and
+// holds a later value, which the store has lost.
 func (t TableRules) replaces(r, old Row) bool {
 	if r.Version != old.Version {
 		return r.Version > old.Version
@@ -29,8 +29,8 @@
 	return t.CompareAge != nil && !r.Deleted && !old.Deleted && t.CompareAge(r.Value, old.Value) > 0
 }
 
-// latest returns a row that was read in a new era of the store, or its remembered state if the store has lost that: a later value, or
-// its removal after the value that was read.
+// latest returns a row that was read in a new era of the store, or its remembered state if the store has lost that: a later value,
+// or its removal after the value that was read.
 func (t TableRules) latest(r, remembered Row) Row {
 	if t.CompareAge == nil || r.Deleted {
 		return r
--- a/internal/platform/mirror_test.go
+++ b/internal/platform/mirror_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"math/rand"
 	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/platform"
@@ -35,6 +37,9 @@
 	// rows are the rows of the only table, and version is that of the store.
 	rows    map[string]platform.Row
 	version uint64
+	era     uint64
+	// saved holds the rows at each version, for restores.
+	saved map[uint64]map[string]platform.Row
 	// storeDown makes reads fail. storeBytes counts the bytes that each region read from the store.
 	storeDown  bool
 	storeBytes map[string]int
@@ -56,32 +61,41 @@
 	changedAt time.Duration
 }
 
-func newMirrorFleet(c *qt.C, seed int64, regions, perRegion int) *mirrorFleet {
+// fataler is the part of a test that shared assertions need. Property tests have no testing.TB.
+type fataler interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+func newMirrorFleet(seed int64, regions, perRegion int) *mirrorFleet {
 	f := &mirrorFleet{
 		VirtualClock: &tick.VirtualClock{}, random: rand.New(rand.NewSource(seed)), byName: map[string]*mirrorNode{},
-		rows: map[string]platform.Row{}, storeBytes: map[string]int{},
+		rows: map[string]platform.Row{}, storeBytes: map[string]int{}, era: 1, saved: map[uint64]map[string]platform.Row{0: {}},
 	}
 	for r := range regions {
 		for i := range perRegion {
 			x := &mirrorNode{f: f, name: fmt.Sprintf("r%d-n%04d", r, i), region: fmt.Sprintf("r%d", r), alive: true}
 			f.nodes = append(f.nodes, x)
 			f.byName[x.name] = x
-			x.start(c)
+			x.start()
 		}
 	}
 	f.assignSources()
 	return f
 }
 
-func (x *mirrorNode) start(c *qt.C) {
+func (x *mirrorNode) start() {
 	x.rows = map[string]platform.Row{}
 	var err error
 	x.mirror, err = platform.NewMirror(
 		platform.WithMirrorJitter(func(d time.Duration) time.Duration { return time.Duration(x.f.random.Int63n(int64(d) + 1)) }),
 		platform.WithTable(platform.TableRules{
 			Name: "t", ReadWait: time.Second, ConfirmTimeout: 1600 * time.Millisecond, BatchDelay: 200 * time.Millisecond,
+			CompareAge: bytes.Compare,
 		}))
-	c.Assert(err, qt.IsNil)
+	if err != nil {
+		panic(err)
+	}
 }
 
 // assignSources gives each node that is alive its sources among the living nodes of its region.
@@ -150,7 +164,7 @@
 }
 
 func (x *mirrorNode) waitForChanges(after uint64, until time.Duration) {
-	if x.f.newest() > after || x.f.Now() >= until || x.f.storeDown || x.cutOff {
+	if x.f.newest() > after || x.f.version < after || x.f.Now() >= until || x.f.storeDown || x.cutOff {
 		x.answer(after, false, x.f.Now())
 		return
 	}
@@ -172,7 +186,11 @@
 		x.f.After(time.Second, func() { x.step(platform.ReadFailed{Table: "t"}) })
 		return
 	}
-	e := platform.RowsRead{Table: "t", Version: x.f.version, All: all, SentAt: sentAt}
+	if !all && x.f.version < after {
+		x.step(platform.ReadFailed{Table: "t", HistoryGone: true})
+		return
+	}
+	e := platform.RowsRead{Table: "t", Era: x.f.era, Version: x.f.version, All: all, SentAt: sentAt}
 	for _, r := range x.f.rows {
 		if r.Version > after && (!all || !r.Deleted) {
 			e.Rows = append(e.Rows, r)
@@ -185,15 +203,22 @@
 func (f *mirrorFleet) put(key string, value []byte) {
 	f.version++
 	f.rows[key] = platform.Row{Key: key, Value: value, Version: f.version, Deleted: value == nil}
+	f.saved[f.version] = maps.Clone(f.rows)
+}
+
+// restore replaces the table by its state at an earlier version.
+func (f *mirrorFleet) restore(version uint64) {
+	f.era++
+	f.version, f.rows = version, maps.Clone(f.saved[version])
 }
 
 // assertCopies checks that the copies of all living nodes equal the table.
-func (f *mirrorFleet) assertCopies(c *qt.C) {
-	c.Helper()
+func (f *mirrorFleet) assertCopies(t fataler) {
+	t.Helper()
 	for _, x := range f.nodes {
 		for k, r := range f.rows {
 			if o := x.rows[k]; x.alive && (o.Deleted != r.Deleted || !bytes.Equal(o.Value, r.Value)) {
-				c.Fatalf("%s: row %s of version %d differs from version %d of the store", x.name, k, o.Version, r.Version)
+				t.Fatalf("%s: row %s of version %d differs from version %d of the store", x.name, k, o.Version, r.Version)
 			}
 		}
 	}
@@ -218,7 +243,7 @@
 func TestMirrorAtTargetSize(t *testing.T) {
 	c := qt.New(t)
 	const regions, perRegion, routes = 3, 1133, 200
-	f := newMirrorFleet(c, 1, regions, perRegion)
+	f := newMirrorFleet(1, regions, perRegion)
 	f.put("config", routeValue(routes, 1))
 	f.Run(5 * time.Second)
 	f.assertCopies(c)
@@ -273,7 +298,7 @@
 	} {
 		t.Run(k.name, func(t *testing.T) {
 			c := qt.New(t)
-			f := newMirrorFleet(c, 2, 2, 40)
+			f := newMirrorFleet(2, 2, 40)
 			f.put("config", routeValue(50, 1))
 			f.Run(10 * time.Second)
 			k.fail(f)
@@ -288,7 +313,7 @@
 	}
 	t.Run("a node that is added gets a copy without reading the store", func(t *testing.T) {
 		c := qt.New(t)
-		f := newMirrorFleet(c, 3, 1, 40)
+		f := newMirrorFleet(3, 1, 40)
 		f.put("config", routeValue(50, 1))
 		f.Run(5 * time.Second)
 		x := f.nodes[17]
@@ -296,7 +321,7 @@
 			x = f.nodes[slices.Index(f.nodes, x)+1]
 		}
 		x.reads = 0
-		x.start(c)
+		x.start()
 		f.assignSources()
 		f.Run(f.Now() + 400*time.Millisecond)
 		f.assertCopies(c)
@@ -304,7 +329,7 @@
 	})
 	t.Run("the store is away", func(t *testing.T) {
 		c := qt.New(t)
-		f := newMirrorFleet(c, 4, 2, 20)
+		f := newMirrorFleet(4, 2, 20)
 		f.put("config", routeValue(50, 1))
 		f.Run(5 * time.Second)
 		f.storeDown = true
@@ -336,3 +361,65 @@
 		x.alive = false
 	}
 }
+
+// numbered returns a value that bytes.Compare orders by n.
+func numbered(n int) []byte {
+	return fmt.Appendf(nil, "%06d", n)
+}
+
+// TestMirrorOverRestores guards against copies that miss a change, or go back to a value that its writer has replaced, when the
+// store comes back from a copy again and again.
+func TestMirrorOverRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newMirrorFleet(int64(rapid.IntRange(1, 1<<30).Draw(t, "seed")), 2, rapid.IntRange(2, 12).Draw(t, "nodes"))
+		keys := []string{"a", "b", "c"}
+		written := map[string]int{}
+		write := func(n int) {
+			k := keys[n%len(keys)]
+			written[k] = n
+			f.put(k, numbered(n))
+		}
+		for n := range rapid.IntRange(1, 25).Draw(t, "writes") {
+			switch rapid.SampledFrom([]string{"", "", "", "restore", "down", "restart"}).Draw(t, "fault") {
+			case "restore":
+				f.restore(uint64(rapid.IntRange(0, int(f.version)).Draw(t, "version")))
+			case "down":
+				f.storeDown = !f.storeDown
+			case "restart":
+				f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "node")].start()
+				f.assignSources()
+			}
+			before := f.remembered()
+			write(n)
+			f.Run(f.Now() + time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait_ms"))*time.Millisecond)
+			f.assertNotReverted(t, before)
+		}
+		f.storeDown = false
+		for k, n := range written {
+			f.put(k, numbered(n))
+		}
+		f.Run(f.Now() + 2*inForceTarget)
+		f.assertCopies(t)
+	})
+}
+
+// remembered returns the values that each node knows.
+func (f *mirrorFleet) remembered() map[string]map[string]platform.Row {
+	all := map[string]map[string]platform.Row{}
+	for _, x := range f.nodes {
+		all[x.name] = maps.Clone(x.rows)
+	}
+	return all
+}
+
+// assertNotReverted checks that no node went back to a value that is older than one that it knew.
+func (f *mirrorFleet) assertNotReverted(t fataler, before map[string]map[string]platform.Row) {
+	t.Helper()
+	for _, x := range f.nodes {
+		for k, r := range before[x.name] {
+			if o, ok := x.rows[k]; ok && !o.Deleted && bytes.Compare(o.Value, r.Value) < 0 {
+				t.Fatalf("%s: %s went back from %s to %s", x.name, k, r.Value, o.Value)
+			}
+		}
+	}
+}
