Upstream: leases and fencing tokens hold over a restore of the store

What callers would see: two nodes promote servers of one group at a time or with the same token (ONE), and commits acknowledged by the one primary are dropped by the other (LOST). Cause: a restored store has neither the lease under which an order was given nor its token and time of release, and gives the versions on which leases are compared and set out again. Change: a lease row names its era. A row of an earlier era, or none, is taken over only when every lease of earlier eras has expired and its orders have taken effect (4 s after this node first saw the era). Tokens carry the era in their upper 32 bits, so that those of a later era are higher than any that was lost. A promotion without an order begins anew in a new era; answers and leases of an earlier era are not used, and no lease is released over eras. The handover delay no longer trusts the store's clock for longer than it lasts. Weighed: tokens from the wall clock (clocks step); the highest token that nodes remember (a new node remembers none). Cost: a group without a lease row of the era waits up to 4 s instead of 2.5 s for a promotion right after all nodes have started.

--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -140,7 +140,7 @@
 
 // decodeLease decodes a lease row that was requested at sentAt. The store read its clock at sentAt or later.
 func decodeLease(r platform.Row, sentAt time.Duration) (upstream.Lease, error) {
-	l := upstream.Lease{Version: r.Version}.WithStoreTime(r.StoreTime, sentAt)
+	l := upstream.Lease{Version: r.Version}.WithStoreTime(r.StoreTime, sentAt).WithStoreEra(r.Era)
 	if r.Version == 0 {
 		return l, nil
 	}
@@ -148,7 +148,8 @@
 	return l, err
 }
 
-// acquireLease writes the lease if the row still has the lease's version. Otherwise it returns the stored lease and false.
+// acquireLease writes the lease if the row still has the lease's version. Otherwise it returns the stored lease and false. It
+// fails if the store came back from a copy after the row was read, since the version then means nothing.
 func (n *Node) acquireLease(ctx context.Context, a upstream.AcquireLease) (upstream.Lease, bool, error) {
 	raw, err := json.Marshal(a.Lease)
 	if err != nil {
@@ -156,10 +157,12 @@
 	}
 	sentAt := n.clock()
 	r, acquired, err := n.store.CompareAndSet(ctx, tableLeases, a.Group, raw, a.Lease.Version)
-	if err != nil {
+	switch {
+	case err != nil:
 		return upstream.Lease{}, false, err
-	}
-	if acquired {
+	case r.Era != a.Lease.StoreEra:
+		return upstream.Lease{}, false, platform.ErrRestored
+	case acquired:
 		a.Lease.Version = r.Version
 		return a.Lease.WithStoreTime(r.StoreTime, sentAt), true, nil
 	}
@@ -168,8 +171,11 @@
 }
 
 // releaseLease writes the released lease. If the row was changed but still has the same fencing token, it repeats the write
-// with the row's new version. A lease with another token is left unchanged.
+// with the row's new version. A lease with another token or of another era of the store is left unchanged.
 func (n *Node) releaseLease(ctx context.Context, a upstream.ReleaseLease) error {
+	if n.store.Era() != a.Lease.StoreEra {
+		return platform.ErrRestored
+	}
 	version := a.Lease.Version
 	raw, err := json.Marshal(a.Lease)
 	if err != nil {
@@ -179,7 +185,7 @@
 	if err != nil || released {
 		return err
 	}
-	if l, err := decodeLease(r, n.clock()); err != nil || l.Token != a.Lease.Token {
+	if l, err := decodeLease(r, n.clock()); err != nil || l.Token != a.Lease.Token || l.StoreEra != a.Lease.StoreEra {
 		return err
 	}
 	_, _, err = n.store.CompareAndSet(ctx, tableLeases, a.Group, raw, r.Version)
--- a/internal/fleet/log.go
+++ b/internal/fleet/log.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"buckthornport.example/buckthornport/internal/operator"
+	"buckthornport.example/buckthornport/internal/upstream"
 )
 
 // writeAuditRecord logs a record unless the rate limit of its kind and cause is reached. It is safe for concurrent use.
@@ -33,8 +34,10 @@
 	n.writeAuditRecord(r)
 }
 
-// auditEra writes an audit record when the store has come back from a copy that lacks its last changes.
-func (n *Node) auditEra(previous, era uint64) {
+// changeEra passes a new era of the store on to the control thread. It writes an audit record when the store has come back from a
+// copy that lacks its last changes.
+func (n *Node) changeEra(previous, era uint64) {
+	n.thread.Post(upstream.StoreEraObserved{Era: era})
 	if previous == 0 {
 		return
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -142,7 +142,7 @@
 	n.routes.Store(newRouteTable(bundle.Bundle{}))
 	n.grace.Store(int64(s.GraceMS))
 	n.store = platform.NewStore(s.Store)
-	n.store.EraChanged = n.auditEra
+	n.store.EraChanged = n.changeEra
 	n.controlClient = platform.NewControlClient(s.Node)
 	n.controlClient.WrapConn = func(server string, conn net.Conn) net.Conn {
 		return n.serverBytes.WrapConn(conn, s.Distance(n.zoneOf(server)))
--- a/internal/upstream/appointed_test.go
+++ b/internal/upstream/appointed_test.go
@@ -23,6 +23,8 @@
 	silent   map[string]bool
 	refusing map[string]bool
 	lease    upstream.Lease
+	// era is that of the store.
+	era uint64
 	// storeDown leaves requests about the lease unanswered. storeDelay delays the answers to AcquireLease.
 	storeDown     bool
 	storeDelay    time.Duration
@@ -161,10 +163,10 @@
 	}
 	switch a := a.(type) {
 	case upstream.ReadLease:
-		s.answerLater(upstream.LeaseRead{Group: "g", Lease: s.lease.WithStoreTime(s.now, s.now)})
+		s.answerLater(upstream.LeaseRead{Group: "g", Lease: s.lease.WithStoreTime(s.now, s.now).WithStoreEra(s.era)})
 	case upstream.AcquireLease:
 		if a.Lease.Version != s.lease.Version {
-			s.answerLater(upstream.LeaseRead{Group: "g", Lease: s.lease.WithStoreTime(s.now, s.now)})
+			s.answerLater(upstream.LeaseRead{Group: "g", Lease: s.lease.WithStoreTime(s.now, s.now).WithStoreEra(s.era)})
 			return
 		}
 		s.lease = a.Lease.WithStoreTime(s.now, s.now)
@@ -458,6 +460,85 @@
 	})
 }
 
+// startEra makes the store come back from a copy with the given lease.
+func (s *simulation) startEra(era uint64, l upstream.Lease) {
+	s.era, s.lease = era, l
+	s.step(upstream.StoreEraObserved{Era: era})
+}
+
+// TestLeaseOverRestores guards against two nodes that give orders at a time, and against tokens that are given out twice, when the
+// store has lost a lease.
+func TestLeaseOverRestores(t *testing.T) {
+	const oldLeases = upstream.LeaseDuration + upstream.LeaseSettleTime
+	t.Run("a lease may be lost, so none is acquired until it has expired", func(t *testing.T) {
+		s := newSimulation(qt.New(t))
+		s.startEra(1, upstream.Lease{})
+		s.run(oldLeases)
+		s.startEra(2, upstream.Lease{})
+		s.refusing["p"] = true
+		s.run(oldLeases - 100*time.Millisecond)
+		assertPromoteOrders(s)
+		assertNonePaused(s)
+		s.run(3 * time.Second)
+		assertPromoteOrders(s, "a")
+		s.c.Assert(s.promoteOrders[0].Token > 2<<32, qt.IsTrue)
+	})
+	t.Run("a lease of the current era is complete", func(t *testing.T) {
+		s := newSimulation(qt.New(t))
+		s.startEra(2, upstream.Lease{Token: 2<<32 + 4, Era: 2, Version: 3})
+		s.refusing["p"] = true
+		s.run(1500 * time.Millisecond)
+		assertPromoteOrders(s, "a")
+		s.c.Assert(s.promoteOrders[0].Token > 2<<32+4, qt.IsTrue)
+	})
+	t.Run("the same version is another lease in another era", func(t *testing.T) {
+		s := newSimulation(qt.New(t))
+		s.startEra(1, upstream.Lease{Token: 7, Holder: "n1", Era: 1, Version: 3})
+		s.refusing["p"] = true
+		s.run(2 * time.Second)
+		s.startEra(2, upstream.Lease{Token: 2<<32 + 1, Holder: "n2", Era: 2, Version: 3})
+		s.run(oldLeases - 500*time.Millisecond)
+		assertPromoteOrders(s)
+		s.run(3 * time.Second)
+		assertPromoteOrders(s, "a")
+	})
+	t.Run("a promotion under a lost lease gives no order", func(t *testing.T) {
+		s := newSimulation(qt.New(t))
+		s.startEra(1, upstream.Lease{Era: 1, Version: 3})
+		s.withholdsPromise = "b"
+		s.refusing["p"] = true
+		for len(s.paused) == 0 {
+			s.run(time.Millisecond)
+		}
+		s.startEra(2, upstream.Lease{})
+		s.withholdsPromise = ""
+		s.run(oldLeases - 100*time.Millisecond)
+		assertPromoteOrders(s)
+		s.run(3 * time.Second)
+		assertPromoteOrders(s, "a")
+	})
+	t.Run("a lease that was acquired before is not used", func(t *testing.T) {
+		s := newSimulation(qt.New(t))
+		s.startEra(1, upstream.Lease{Era: 1, Version: 3})
+		s.storeDelay = 300 * time.Millisecond
+		s.refusing["p"] = true
+		for s.lease.Holder == "" {
+			s.run(time.Millisecond)
+		}
+		s.startEra(2, upstream.Lease{})
+		s.run(oldLeases - 100*time.Millisecond)
+		assertPromoteOrders(s)
+		assertNonePaused(s)
+	})
+	t.Run("a release in the future of another clock delays by no more than the handover", func(t *testing.T) {
+		s := newSimulation(qt.New(t))
+		s.startEra(2, upstream.Lease{Token: 2<<32 + 4, Actor: "n1", ReleasedMS: time.Hour.Milliseconds(), Era: 2, Version: 3})
+		s.refusing["p"] = true
+		s.run(upstream.LeaseHandoverDelay + 2*time.Second)
+		assertPromoteOrders(s, "a")
+	})
+}
+
 func TestAppointedAbandoned(t *testing.T) {
 	t.Run("the pauses of another node's unfinished promotion are ended under the lease", func(t *testing.T) {
 		s := newSimulation(qt.New(t))
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -24,6 +24,8 @@
 	// noSuccessorDelay is the delay before the next attempt in a group without a server to promote, so that a replica can catch
 	// up.
 	noSuccessorDelay = 600 * time.Millisecond
+	// eraTokenBits is the number of low bits of a fencing token that count within one era of the store.
+	eraTokenBits = 32
 	// leaseStoreTimeout limits the wait for the store's answer to a request about a lease.
 	leaseStoreTimeout = 1500 * time.Millisecond
 )
@@ -33,6 +35,10 @@
 type Lease struct {
 	Token  uint64 `json:"token"`
 	Holder string `json:"holder"`
+	// Era is the era of the store in which the lease was acquired, zero if there is no row. StoreEra is the era in which the row was
+	// read: a row of an earlier era may lack what the store has lost.
+	Era      uint64 `json:"era,omitempty"`
+	StoreEra uint64 `json:"-"`
 	// Floor is the minimum position that the next primary must hold: the end of the log that the last promotion chose.
 	Floor session.Position `json:"floor"`
 	// Actor is the node that gave the last order. ReleasedMS is when it released its lease, in milliseconds of the store's clock.
@@ -52,10 +58,18 @@
 	return l.ExpiresAt != 0 && now < l.ExpiresAt
 }
 
-// WithHolder returns the lease as the named node acquires it, with the next fencing token.
+// WithHolder returns the lease as the named node acquires it, with the next fencing token. Tokens of an era are higher than those
+// of earlier eras, also than those that the store has lost.
 func (l Lease) WithHolder(node string) Lease {
-	l.Token++
+	l.Token = max(l.Token, l.StoreEra<<eraTokenBits) + 1
 	l.Holder = node
+	l.Era = l.StoreEra
+	return l
+}
+
+// WithStoreEra returns the lease as read in the given era of the store.
+func (l Lease) WithStoreEra(era uint64) Lease {
+	l.StoreEra = era
 	return l
 }
 
@@ -153,6 +167,12 @@
 	SentAt time.Duration
 }
 
+// StoreEraObserved reports the era of the store that an answer has shown. It rises each time the store comes back from a copy that
+// lacks its last changes.
+type StoreEraObserved struct {
+	Era uint64
+}
+
 // LeaseRequestFailed reports a request about a lease that the store did not answer. The request may have taken effect.
 type LeaseRequestFailed struct {
 	Group string
@@ -161,6 +181,7 @@
 func (LeaseRead) upstreamEvent()          {}
 func (LeaseAcquired) upstreamEvent()      {}
 func (LeaseRequestFailed) upstreamEvent() {}
+func (StoreEraObserved) upstreamEvent()   {}
 
 func (w *Watch) requestLease(now time.Duration, p Promotion) {
 	w.schedulePromotion(p.WithStage(StageLeasing, now+leaseStoreTimeout))
@@ -170,8 +191,9 @@
 // applyLeaseRead acquires a lease that is available, or waits until it is. The duration of another node's lease counts from when
 // this node first read it, so that the clocks of two nodes are never compared.
 func (w *Watch) applyLeaseRead(now time.Duration, e LeaseRead) {
+	w.applyStoreEra(now, StoreEraObserved{Era: e.Lease.StoreEra})
 	s, known := w.leases.Get(e.Group)
-	if !known || s.lease.Version != e.Lease.Version {
+	if !known || s.lease.Version != e.Lease.Version || s.lease.StoreEra != e.Lease.StoreEra {
 		s.firstReadAt = now
 	}
 	s.lease, s.lastReadAt = e.Lease, now
@@ -201,22 +223,45 @@
 // leaseAvailableAt returns when this node may acquire a lease. A released lease is available once its handover delay has passed.
 // A lease that another node holds is available once it has expired and the orders given under it have taken effect. A lease that an
 // earlier process of this node holds is available LeaseSettleTime after the start of this process: the earlier one gives no more
-// orders, and those that it gave have taken effect by then.
+// orders, and those that it gave have taken effect by then. If the row is not of the current era, the store may have lost another
+// lease: any lease of an earlier era has expired, and its orders have taken effect, once that time has passed in the current one.
 func (w *Watch) leaseAvailableAt(s observedLease) time.Duration {
+	at := time.Duration(0)
+	if s.lease.Era != s.lease.StoreEra {
+		at = w.storeEraSince + LeaseDuration + LeaseSettleTime
+	}
 	switch s.lease.Holder {
 	case "":
-		return s.lastReadAt + s.lease.handoverDelay(w.node)
+		// After the store came back from a copy, its clock may be another one.
+		return max(at, min(s.lastReadAt+s.lease.handoverDelay(w.node), s.firstReadAt+LeaseHandoverDelay))
 	case w.node:
-		return w.startedAt + LeaseSettleTime
+		return max(at, w.startedAt+LeaseSettleTime)
 	default:
-		return s.firstReadAt + LeaseDuration + LeaseSettleTime
+		return max(at, s.firstReadAt+LeaseDuration+LeaseSettleTime)
+	}
+}
+
+// applyStoreEra applies a new era of the store. A promotion that has given no order yet begins anew, as the store may have lost the
+// lease that it holds.
+func (w *Watch) applyStoreEra(now time.Duration, e StoreEraObserved) {
+	if e.Era <= w.storeEra {
+		return
+	}
+	w.storeEra, w.storeEraSince = e.Era, now
+	for _, k := range w.promotions.Keys() {
+		p, _ := w.promotions.Get(k)
+		if p.Lease.ExpiresAt == 0 || p.Lease.StoreEra == e.Era || p.Stage == StageOpening {
+			continue
+		}
+		p.Lease = Lease{}
+		w.retryAttempt(now, p)
 	}
 }
 
 // retryRecording repeats the recording of the floor after a version mismatch, if this node still holds the lease.
 func (w *Watch) retryRecording(now time.Duration, p Promotion, l Lease) {
 	best := slices.IndexFunc(p.Promises, func(v Promise) bool { return v.Server == p.Chosen })
-	if l.Holder != w.node || l.Token != p.Lease.Token || best < 0 || !p.Lease.Valid(now) {
+	if l.Holder != w.node || l.Token != p.Lease.Token || l.StoreEra != p.Lease.StoreEra || best < 0 || !p.Lease.Valid(now) {
 		w.retryAttempt(now, p)
 		return
 	}
@@ -226,10 +271,13 @@
 }
 
 // applyLeaseAcquired continues a promotion under its lease. It releases the lease if the promotion no longer needs it or the
-// lease is no longer valid.
+// lease is no longer valid, and ignores a lease of an earlier era of the store.
 func (w *Watch) applyLeaseAcquired(now time.Duration, e LeaseAcquired) {
 	l := e.Lease.WithExpiry(e.SentAt + LeaseDuration - LeaseSafetyMargin)
 	p, ok := w.promotions.Get(e.Group)
+	if l.StoreEra != w.storeEra {
+		return
+	}
 	if ok && p.Stage == StageRecording && p.Chosen != "" && l.Valid(now) {
 		p.Lease = l
 		w.orderPromotion(now, p)
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -20,7 +20,10 @@
 	peers      []string
 	nextStepAt time.Duration
 	// startedAt is the time of the first step.
-	startedAt     time.Duration
+	startedAt time.Duration
+	// storeEra is the newest era of the store that is known, and storeEraSince is when it became known.
+	storeEra      uint64
+	storeEraSince time.Duration
 	changedGroups map[string]bool
 	actions       []Action
 	jitter        func(limit time.Duration) time.Duration
@@ -187,6 +190,8 @@
 		w.applyLeaseAcquired(now, e)
 	case LeaseRequestFailed:
 		w.applyLeaseRequestFailed(now, e)
+	case StoreEraObserved:
+		w.applyStoreEra(now, e)
 	case PeersUpdated:
 		w.peers = slices.Clone(e.Nodes)
 		for _, k := range w.groups.Keys() {
