--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -47,9 +47,11 @@
 		listing.WithMirrorJitter(tick.Jitter),
 		listing.WithTable(listing.TableRules{
 			Name: platform.TableConfig, ReadWait: configReadWait, ConfirmTimeout: configConfirmTimeout, BatchDelay: configBatchDelay,
+			CompareAge: platform.CompareConfigs,
 		}),
 		listing.WithTable(listing.TableRules{
 			Name: platform.TableServers, ReadWait: serversReadWait, ConfirmTimeout: serversConfirmTimeout, BatchDelay: serversBatchDelay,
+			CompareAge: platform.CompareEntries,
 		}))
 }
 
@@ -98,7 +100,9 @@
 }
 
 func rowsRead(rs platform.Rows, all bool) listing.RowsRead {
-	r := listing.RowsRead{Version: rs.Version, All: all, Rows: make([]listing.Row, 0, len(rs.Rows)), Transfer: rs.Transfer}
+	r := listing.RowsRead{
+		Era: rs.Era, Version: rs.Version, All: all, Rows: make([]listing.Row, 0, len(rs.Rows)), Transfer: rs.Transfer,
+	}
 	for _, v := range rs.Rows {
 		r.Rows = append(r.Rows, listing.Row{Key: v.Key, Value: v.Value, Version: v.Version, Deleted: v.Deleted})
 	}
