--- a/internal/fleet/log.go
+++ b/internal/fleet/log.go
@@ -1,11 +1,13 @@
 package fleet
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"buckthornport.example/buckthornport/internal/operator"
+	"buckthornport.example/buckthornport/internal/upstream"
 )
 
 // writeAuditRecord logs a record unless the rate limit of its kind and cause is reached. It is safe for concurrent use.
@@ -32,6 +34,17 @@
 	n.writeAuditRecord(r)
 }
 
+// changeEra passes a new era of the store on to the control thread. It writes an audit record when the store has come back from a
+// copy that lacks its last changes.
+func (n *Node) changeEra(previous, era uint64) {
+	n.thread.Post(upstream.StoreEraObserved{Era: era})
+	if previous == 0 {
+		return
+	}
+	n.writeAuditRecord(operator.Record{Kind: operator.KindDependency, Server: "store", Cause: "restored"}.
+		WithEvidence("before", strconv.FormatUint(previous, 10)).WithEvidence("era", strconv.FormatUint(era, 10)))
+}
+
 func (n *Node) wallTime(elapsed time.Duration) time.Time {
 	return n.start.Add(elapsed).UTC()
 }
