Platform: substitutes read the store before the other nodes of a region do

Cause: a change that takes longer than ConfirmTimeout to reach the readers had every other node of the region read it as well, which is the first matter again on a link narrow enough. Change: the two nodes next in rank wait for ConfirmTimeout, all others half as long again, so that they hear from the substitutes instead.

--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -19,12 +19,12 @@
 	// configReadWait and configConfirmTimeout are short compared with the seconds within which a configuration must be in force: a
 	// node that the readers of its region no longer reach has to notice, and to read the store itself, in that time.
 	configReadWait       = time.Second
-	configConfirmTimeout = 1600 * time.Millisecond
+	configConfirmTimeout = 1500 * time.Millisecond
 	configBatchDelay     = 200 * time.Millisecond
 	// serversReadWait, serversConfirmTimeout and serversBatchDelay are short compared with the time after which a server that is being
 	// drained must get no new work.
 	serversReadWait       = 2500 * time.Millisecond
-	serversConfirmTimeout = 4 * time.Second
+	serversConfirmTimeout = 3500 * time.Millisecond
 	serversBatchDelay     = time.Second
 	// storeCallTimeout bounds a read of the member table and a write of one row.
 	storeCallTimeout = 2 * time.Second
@@ -70,11 +70,12 @@
 			near = append(near, u)
 		}
 	}
+	readers, substitutes := peer.StoreReaders(near)
 	a := listing.SourcesAssigned{
-		Reader:     slices.Contains(peer.StoreReaders(near), n.settings.Peer),
+		Reader: slices.Contains(readers, n.settings.Peer), Substitute: slices.Contains(substitutes, n.settings.Peer),
 		Successors: peer.Successors(n.settings.Peer, near),
 	}
-	if n.sources != nil && n.sources.Reader == a.Reader && slices.Equal(n.sources.Successors, a.Successors) {
+	if n.sources != nil && n.sources.Reader == a.Reader && n.sources.Substitute == a.Substitute && slices.Equal(n.sources.Successors, a.Successors) {
 		return
 	}
 	n.sources = &a
--- a/internal/peer/rendezvous.go
+++ b/internal/peer/rendezvous.go
@@ -67,15 +67,26 @@
 	return s
 }
 
-// storeReaders is the number of nodes of each region that read the platform's store for the other nodes of the region.
-const storeReaders = 2
+const (
+	// storeReaders is the number of nodes of each region that read the platform's store for the other nodes of the region.
+	storeReaders = 2
+	// storeSubstitutes is the number of nodes of each region that read the store first when the readers are lost.
+	storeSubstitutes = 2
+)
+
+// StoreReaders returns the names of the nodes that read the platform's store for the others, and of their substitutes, chosen by
+// weighted rendezvous hash among the members of one region. They are in different availability zones as far as possible.
+func StoreReaders(members []Update) (readers, substitutes []string) {
+	names := rankStoreReaders(members, storeReaders+storeSubstitutes)
+	n := min(storeReaders, len(names))
+	return names[:n], names[n:]
+}
 
-// StoreReaders returns the names of the nodes that read the platform's store for the others, chosen by weighted rendezvous hash
-// among the members of one region. They are in different availability zones if there are several.
-func StoreReaders(members []Update) []string {
+// rankStoreReaders returns the names of the first count members in the order in which they read the store.
+func rankStoreReaders(members []Update, count int) []string {
 	var names []string
 	zones := map[string]bool{}
-	for len(names) < min(storeReaders, len(members)) {
+	for len(names) < min(count, len(members)) {
 		var best Update
 		bestScore, bestInNewZone := 0.0, false
 		for _, u := range members {
--- a/internal/peer/rendezvous_test.go
+++ b/internal/peer/rendezvous_test.go
@@ -64,9 +64,16 @@
 	zone := func(name string) string {
 		return us[slices.IndexFunc(us, func(u peer.Update) bool { return u.Name == name })].Zone
 	}
-	names := peer.StoreReaders(us)
-	c.Assert(names, qt.HasLen, 2)
-	c.Assert(zone(names[0]), qt.Not(qt.Equals), zone(names[1]))
-	c.Assert(peer.StoreReaders(us[:1]), qt.DeepEquals, []string{us[0].Name})
-	c.Assert(peer.StoreReaders(membersInZones(5, "a")), qt.HasLen, 2)
+	readers, substitutes := peer.StoreReaders(us)
+	c.Assert(readers, qt.HasLen, 2)
+	c.Assert(substitutes, qt.HasLen, 2)
+	c.Assert(zone(readers[0]), qt.Not(qt.Equals), zone(readers[1]))
+	c.Assert(zone(substitutes[0]), qt.Not(qt.Equals), zone(readers[0]))
+	c.Assert(zone(substitutes[0]), qt.Not(qt.Equals), zone(readers[1]))
+	readers, substitutes = peer.StoreReaders(us[:1])
+	c.Assert(readers, qt.DeepEquals, []string{us[0].Name})
+	c.Assert(substitutes, qt.HasLen, 0)
+	readers, substitutes = peer.StoreReaders(membersInZones(5, "a"))
+	c.Assert(readers, qt.HasLen, 2)
+	c.Assert(substitutes, qt.HasLen, 2)
 }
--- a/internal/platform/mirror.go
+++ b/internal/platform/mirror.go
@@ -24,6 +24,8 @@
 	maxReadBackoff = 800 * time.Millisecond
 	// firstRequests is how many nodes a node without a copy asks for one.
 	firstRequests = 2
+	// followerPatience is how many times longer than a substitute another node waits for a confirmation.
+	followerPatience = 1.5
 	// maxDeletedRows is the number of deleted rows that a copy keeps in order to report them to other nodes.
 	maxDeletedRows = 1000
 )
@@ -33,7 +35,8 @@
 	Name string
 	// ReadWait is how long a reader's call to the store waits for a change. Its answer confirms that the copy is complete.
 	ReadWait time.Duration
-	// ConfirmTimeout is the time without a confirmation after which a node reads the store itself.
+	// ConfirmTimeout is the time without a confirmation after which a substitute reads the store itself. Other nodes wait for
+	// followerPatience times as long, so that a slow change is not read by all of them.
 	ConfirmTimeout time.Duration
 	// BatchDelay is the delay of the next read after one that returned changes, which come in bursts.
 	BatchDelay time.Duration
@@ -217,7 +220,11 @@
 // withNextRead returns the row of a copy with the time at which a node that is no reader reads the store unless the copy is
 // confirmed before.
 func (m *Mirror) withNextRead(now time.Duration, c Copy) Copy {
-	return c.WithReadAt(max(now, c.ConfirmedAt+c.Rules.ConfirmTimeout) + m.jitter(c.Rules.ConfirmTimeout/4))
+	timeout := c.Rules.ConfirmTimeout
+	if !m.sources.Substitute {
+		timeout = time.Duration(followerPatience * float64(timeout))
+	}
+	return c.WithReadAt(max(now, c.ConfirmedAt+timeout) + m.jitter(c.Rules.ConfirmTimeout/4))
 }
 
 func (m *Mirror) applyReadFailure(now time.Duration, e ReadFailed) {
--- a/internal/platform/mirror_rows.go
+++ b/internal/platform/mirror_rows.go
@@ -200,9 +200,11 @@
 // MirrorEvent is an input of a Mirror.
 type MirrorEvent interface{ mirrorEvent() }
 
-// SourcesAssigned reports whether this node reads the store for others, and the nodes to which it passes changes on.
+// SourcesAssigned reports whether this node reads the store for others, or is among the first to do so when the readers are lost,
+// and the nodes to which it passes changes on.
 type SourcesAssigned struct {
 	Reader     bool
+	Substitute bool
 	Successors []string
 }
 
--- a/internal/platform/mirror_test.go
+++ b/internal/platform/mirror_test.go
@@ -90,7 +90,7 @@
 	x.mirror, err = platform.NewMirror(
 		platform.WithMirrorJitter(func(d time.Duration) time.Duration { return time.Duration(x.f.random.Int63n(int64(d) + 1)) }),
 		platform.WithTable(platform.TableRules{
-			Name: "t", ReadWait: time.Second, ConfirmTimeout: 1600 * time.Millisecond, BatchDelay: 200 * time.Millisecond,
+			Name: "t", ReadWait: time.Second, ConfirmTimeout: 1500 * time.Millisecond, BatchDelay: 200 * time.Millisecond,
 			CompareAge: bytes.Compare,
 		}))
 	if err != nil {
@@ -106,14 +106,15 @@
 			members[x.region] = append(members[x.region], peer.Update{Name: x.name, Zone: x.region})
 		}
 	}
-	readers := map[string][]string{}
+	readers, substitutes := map[string][]string{}, map[string][]string{}
 	for region, us := range members {
-		readers[region] = peer.StoreReaders(us)
+		readers[region], substitutes[region] = peer.StoreReaders(us)
 	}
 	for _, x := range f.nodes {
 		if x.alive {
 			x.step(platform.SourcesAssigned{
-				Reader: slices.Contains(readers[x.region], x.name), Successors: peer.Successors(x.name, members[x.region]),
+				Reader: slices.Contains(readers[x.region], x.name), Substitute: slices.Contains(substitutes[x.region], x.name),
+				Successors: peer.Successors(x.name, members[x.region]),
 			})
 		}
 	}
@@ -349,7 +350,8 @@
 	}
 	var out []*mirrorNode
 	for _, members = range regions {
-		for _, n := range peer.StoreReaders(members) {
+		readers, _ := peer.StoreReaders(members)
+		for _, n := range readers {
 			out = append(out, f.byName[n])
 		}
 	}
