--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -75,7 +75,7 @@
 		Reader: slices.Contains(readers, n.settings.Peer), Substitute: slices.Contains(substitutes, n.settings.Peer),
 		Successors: peer.Successors(n.settings.Peer, near),
 	}
-	if n.sources != nil && n.sources.Reader == a.Reader && n.sources.Substitute == a.Substitute && slices.Equal(n.sources.Successors, a.Successors) {
+	if s := n.sources; s != nil && s.Reader == a.Reader && s.Substitute == a.Substitute && slices.Equal(s.Successors, a.Successors) {
 		return
 	}
 	n.sources = &a
