Upstream, peer: the floor of the last promotion holds over a restore of the store

What callers would see: acknowledged commits that are gone after a second promotion (LOST). Cause: the position that the next primary must hold stood in the lease row alone, and in the memory of the node that wrote it. A restored store has lost it; once that node is gone as well, a replica below it is promoted. Change: a promotion announces its floor to the peers with its order, as part of the group's route, so that all nodes know it, also ones that start later; in a new era the two first nodes of a group raise the floor in its lease row again (floors, a system of the watch). Routes merge: the higher term, the higher floor. The stand-in no longer copies a promoted server's log to replicas that receive nothing. Weighed: taking the new primary's first position as the floor (holds commits that nobody acknowledged, so that a group may wait for ever).

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -201,7 +201,9 @@
 	for _, a := range as {
 		switch a := a.(type) {
 		case peer.LearnRoute:
-			next.add(upstream.RouteLearned{Group: a.Route.Group, Term: a.Route.Term, Primary: a.Route.Primary})
+			next.add(upstream.RouteLearned{
+				Group: a.Route.Group, Term: a.Route.Term, Primary: a.Route.Primary, Floor: a.Route.Floor,
+			})
 		case peer.OfferBundle:
 			next.add(BundleOffered{Encoded: a.Bundle, Source: "peer"})
 		case peer.MembersChanged:
@@ -222,6 +224,8 @@
 	as, wake := n.watch.Step(now, in.upstream)
 	for _, a := range as {
 		switch a := a.(type) {
+		case upstream.AnnounceFloor:
+			next.add(peer.RouteDiscovered{Route: peer.Route{Group: a.Group, Floor: a.Floor}})
 		case upstream.AnnouncePrimary:
 			next.add(peer.RouteDiscovered{Route: peer.Route{Group: a.Group, Term: a.Term, Primary: a.Primary}})
 			n.actions = append(n.actions, a)
--- a/internal/control/thread.go
+++ b/internal/control/thread.go
@@ -27,12 +27,13 @@
 	Promise func(ctx context.Context, a upstream.RequestPromise) (upstream.OrderResponse, error)
 	Promote func(ctx context.Context, a upstream.OrderPromote) (upstream.OrderResponse, error)
 	Follow  func(ctx context.Context, a upstream.OrderFollow) (upstream.OrderResponse, error)
-	// Resume ends a promise that a server made. ReadLease, AcquireLease and ReleaseLease call the platform's store. Only kinds
-	// of groups with leases need these functions.
+	// Resume ends a promise that a server made. ReadLease, AcquireLease, ReleaseLease and RecordFloor call the platform's store.
+	// Only kinds of groups with leases need these functions.
 	Resume       func(ctx context.Context, a upstream.OrderResume) error
 	ReadLease    func(ctx context.Context, a upstream.ReadLease) (upstream.Lease, error)
 	AcquireLease func(ctx context.Context, a upstream.AcquireLease) (l upstream.Lease, acquired bool, err error)
 	ReleaseLease func(ctx context.Context, a upstream.ReleaseLease) error
+	RecordFloor  func(ctx context.Context, a upstream.RecordFloor) error
 	// CallFailed reports a call that failed. The decisions see only that no answer arrives.
 	CallFailed func(call, subject string, err error)
 	// IsConnectionRefused reports whether an error shows that the VM is reachable but no process serves the port.
@@ -112,6 +113,8 @@
 		go t.releaseLease(a)
 	case upstream.OrderResume:
 		go t.orderResume(a)
+	case upstream.RecordFloor:
+		go t.recordFloor(a)
 	default:
 		t.performOther(a)
 	}
@@ -264,3 +267,12 @@
 		t.CallFailed("free lease", a.Group, err)
 	}
 }
+
+func (t *Thread) recordFloor(a upstream.RecordFloor) {
+	ctx, stop := t.withTimeout(leaseTimeout)
+	defer stop()
+	if err := t.RecordFloor(ctx, a); err != nil {
+		t.CallFailed("record floor", a.Group, err)
+		t.Post(upstream.FloorNotRecorded{Group: a.Group})
+	}
+}
--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"buckthornport.example/buckthornport/internal/caller"
@@ -91,6 +92,7 @@
 	t.ReadLease = n.readLease
 	t.AcquireLease = n.acquireLease
 	t.ReleaseLease = n.releaseLease
+	t.RecordFloor = n.recordFloor
 	t.Send = n.link.Send
 	// Audit records go to the log on this platform, and a promotion stores nothing but its lease.
 	t.PutRecords = func(context.Context, listing.PutRecords) error { return nil }
@@ -192,6 +194,30 @@
 	return err
 }
 
+// recordFloor raises the floor in a lease row. It fails if the row changes meanwhile.
+func (n *Node) recordFloor(ctx context.Context, a upstream.RecordFloor) error {
+	r, err := n.store.ReadRow(ctx, tableLeases, a.Group)
+	if err != nil {
+		return err
+	}
+	l, err := decodeLease(r, n.clock())
+	if err != nil || l.Floor.Covers(a.Floor) {
+		return err
+	}
+	raw, err := json.Marshal(l.WithFloor(a.Floor))
+	if err != nil {
+		return err
+	}
+	_, recorded, err := n.store.CompareAndSet(ctx, tableLeases, a.Group, raw, r.Version)
+	if err == nil && !recorded {
+		err = errRowChanged
+	}
+	return err
+}
+
+// errRowChanged reports that a row was changed between its read and its write.
+var errRowChanged = errors.New("the row was changed meanwhile")
+
 // openLane creates the lane of a group and starts it.
 func (n *Node) openLane(group string) (*traffic.Lane, error) {
 	d, err := caller.NewLane(group, n.settings.Zone, caller.WithJitter(tick.Jitter),
--- a/internal/fleet/restore_test.go
+++ b/internal/fleet/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -153,3 +154,57 @@
 		waitUntil(c, "the node is registered again", registered(n))
 	}
 }
+
+// promoteOnlyCopy has a promotion choose the only replica with an acknowledged write. It returns the promoter.
+func promoteOnlyCopy(c *qt.C, d *deployment) *Node {
+	c.Helper()
+	d.platform.ChangeServer("books", 2, metadata.StopReceiving(true))
+	assertAnswers(connect(c, d.nodes[0], "ledger"), "WRITE a 1", nil, "I")
+	d.platform.ChangeServer("books", 0, metadata.Down(true))
+	for _, n := range d.nodes {
+		waitUntil(c, "every node knows the next primary", func() bool { return n.view("books").Term == 2 })
+	}
+	primary, _ := d.platform.Primary("books")
+	c.Assert(primary, qt.Equals, 1)
+	holder := d.platform.LastHolder("books")
+	return d.nodes[slices.IndexFunc(d.nodes, func(n *Node) bool { return n.settings.Node == holder })]
+}
+
+// TestFloorAfterRestore guards against the promotion of a replica without acknowledged commits, when the store has lost the lease
+// that says which position the next primary must hold.
+func TestFloorAfterRestore(t *testing.T) {
+	for _, k := range []struct {
+		name string
+		// replace makes the nodes be replaced that know of the promotion.
+		replace func(c *qt.C, d *deployment, promoter *Node)
+	}{
+		{"the promoter is lost", func(_ *qt.C, _ *deployment, promoter *Node) { promoter.Stop() }},
+		{"all nodes are replaced", func(c *qt.C, d *deployment, _ *Node) {
+			time.Sleep(2 * configTarget)
+			for _, n := range d.nodes {
+				n.Stop()
+			}
+			d.nodes = nil
+			d.startNode(c, "new", "a")
+			d.awaitReady(c)
+		}},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := startDeployment(c, 3)
+			copied := d.platform.Version()
+			promoter := promoteOnlyCopy(c, d)
+			time.Sleep(restoreConfirmTime)
+			d.platform.Restore(copied, nil)
+			k.replace(c, d, promoter)
+			for i := range 2 {
+				d.platform.ChangeServer("books", i, metadata.Down(true))
+				d.platform.Delete("servers", fmt.Sprintf("i-books-%d", i+1))
+			}
+			time.Sleep(12 * time.Second)
+			primary, _ := d.platform.Primary("books")
+			c.Check(primary, qt.Not(qt.Equals), 2)
+			assertNoViolations(c, d)
+		})
+	}
+}
--- a/internal/peer/fleet_test.go
+++ b/internal/peer/fleet_test.go
@@ -13,6 +13,7 @@
 
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/tick"
+	"buckthornport.example/buckthornport/pkg/session"
 )
 
 // The default seed is fixed, so that each run draws the same values. The flag -rapid.seed overrides it.
@@ -52,6 +53,7 @@
 	versionSince time.Duration
 	incarnation  uint64
 	routes       map[string]uint64
+	floors       map[string]session.Position
 }
 
 func newFleet(seed int64, n int) *fleet {
@@ -73,6 +75,7 @@
 	x.incarnation++
 	x.version = 0
 	x.routes = map[string]uint64{}
+	x.floors = map[string]session.Position{}
 	opts := []peer.Option{peer.WithRandom(x.f.random.Intn)}
 	for k := range 3 {
 		o := x.f.nodes[(x.id+1+k*k)%len(x.f.nodes)]
@@ -119,6 +122,7 @@
 		x.accept(uint64(a.Bundle[0]), a.Bundle)
 	case peer.LearnRoute:
 		x.routes[a.Route.Group] = a.Route.Term
+		x.floors[a.Route.Group] = a.Route.Floor
 	}
 }
 
@@ -206,6 +210,18 @@
 			c.Check(x.routes["g"], qt.Equals, uint64(5), qt.Commentf("%s", x.name))
 		}
 	})
+	t.Run("a floor and a higher term reach every node, in whatever order they are reported", func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(5, 8)
+		f.Run(10 * time.Second)
+		f.nodes[0].step(peer.RouteDiscovered{Route: peer.Route{Group: "g", Floor: session.Position{Term: 4, Offset: 9}}})
+		f.nodes[1].step(peer.RouteDiscovered{Route: peer.Route{Group: "g", Term: 5, Primary: "s1"}})
+		f.Run(20 * time.Second)
+		for i, x := range f.nodes {
+			c.Check(i == 1 || x.routes["g"] == 5, qt.IsTrue, qt.Commentf("%s", x.name))
+			c.Check(i == 0 || x.floors["g"].Offset == 9, qt.IsTrue, qt.Commentf("%s", x.name))
+		}
+	})
 }
 
 // injectFault kills and restarts a node, partitions the fleet or drops messages, and runs the fleet for a while.
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -375,10 +375,11 @@
 	m.queueBroadcast(broadcast{update: after.update()})
 }
 
-// learnRoute stores and broadcasts a route with a higher term. With fromPeer set, it also reports the route to this node's watch.
+// learnRoute stores and broadcasts a route with a higher term or floor. With fromPeer set, it also reports the route to this node's
+// watch.
 func (m *Membership) learnRoute(r Route, fromPeer bool) {
 	old, _ := m.routes.Get(r.Group)
-	if r.Term <= old.Term {
+	if r = old.merged(r); r == old {
 		return
 	}
 	m.routes.Put(r.Group, r)
@@ -393,10 +394,15 @@
 
 // hash returns the hash of a route. The XOR of the hashes of all routes is the route digest.
 func (r Route) hash() uint64 {
-	if r.Term == 0 {
+	if r.Term == 0 && r.Floor.IsZero() {
 		return 0
 	}
 	h := xxhash.New()
 	_, _ = h.WriteString(r.Group + "\x00" + r.Primary)
-	return h.Sum64() ^ bits.RotateLeft64(r.Term*0x9e3779b97f4a7c15, int(r.Term%63))
+	return h.Sum64() ^ hashNumber(r.Term) ^ hashNumber(r.Floor.Term)*3 ^ hashNumber(r.Floor.Offset)*5
+}
+
+// hashNumber spreads a number over 64 bits. It returns zero for zero.
+func hashNumber(n uint64) uint64 {
+	return bits.RotateLeft64(n*0x9e3779b97f4a7c15, int(n%63))
 }
--- a/internal/peer/rows.go
+++ b/internal/peer/rows.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"buckthornport.example/buckthornport/pkg/session"
 )
 
 // State is the state of a member as another node sees it.
@@ -102,11 +104,22 @@
 	State       State
 }
 
-// Route names the primary of a group and its term.
+// Route names the primary of a group and its term. Floor is the position that the next primary must hold, zero if none is known.
 type Route struct {
 	Group   string
 	Term    uint64
 	Primary string
+	Floor   session.Position `json:",omitzero"`
+}
+
+// merged returns the route of a group that follows from two reports: the primary of the higher term and the higher floor.
+func (r Route) merged(o Route) Route {
+	floor := r.Floor.Max(o.Floor)
+	if o.Term > r.Term {
+		r = o
+	}
+	r.Group, r.Floor = o.Group, floor
+	return r
 }
 
 // Kind is the kind of a message.
--- a/internal/peerlink/codec.go
+++ b/internal/peerlink/codec.go
@@ -20,7 +20,7 @@
 		})
 	}
 	for _, r := range m.Routes {
-		p.Routes = append(p.Routes, &Route{Group: r.Group, Term: r.Term, Primary: r.Primary})
+		p.Routes = append(p.Routes, &Route{Group: r.Group, Term: r.Term, Primary: r.Primary, Floor: encodePosition(r.Floor)})
 	}
 	return p
 }
@@ -43,7 +43,7 @@
 		m.Updates = append(m.Updates, v)
 	}
 	for _, r := range p.Routes {
-		m.Routes = append(m.Routes, peer.Route{Group: r.Group, Term: r.Term, Primary: r.Primary})
+		m.Routes = append(m.Routes, peer.Route{Group: r.Group, Term: r.Term, Primary: r.Primary, Floor: decodePosition(r.Floor)})
 	}
 	return m
 }
--- a/internal/standin/metadata/group.go
+++ b/internal/standin/metadata/group.go
@@ -295,8 +295,8 @@
 }
 
 // promote makes a server the primary of the next term with the entries that it has received. Its log replaces the logs of the
-// other replicas, except those that are down or unresponsive, so replicas that were ahead are rolled back. It is a violation if
-// an acknowledged entry is missing from the log.
+// other replicas, except those that are down, unresponsive or receive nothing, so replicas that were ahead are rolled back. It is
+// a violation if an acknowledged entry is missing from the log.
 func (p *Platform) promote(s *server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -311,7 +311,7 @@
 		if o.pausedTerm <= g.term || o == s {
 			o.pausedTerm = 0
 		}
-		if o == s || o.down || o.unresponsive {
+		if o == s || o.down || o.unresponsive || o.notReceiving {
 			continue
 		}
 		if !o.primary {
--- a/internal/upstream/appointed_test.go
+++ b/internal/upstream/appointed_test.go
@@ -358,6 +358,16 @@
 		assertPromoteOrders(s, "a")
 		s.c.Assert(s.lease.Floor, qt.Equals, position(1, 100))
 	})
+	t.Run("no replica behind the position that a peer has announced", func(t *testing.T) {
+		s := newSimulation(qt.New(t))
+		s.step(upstream.RouteLearned{Group: "g", Floor: position(1, 101)})
+		s.refusing["p"] = true
+		s.run(3 * time.Second)
+		assertPromoteOrders(s)
+		s.setPosition("b", position(1, 101))
+		s.run(3 * time.Second)
+		assertPromoteOrders(s, "b")
+	})
 	t.Run("no replica after the restart of one that had promised", func(t *testing.T) {
 		s := newSimulation(qt.New(t))
 		s.refusing["p"] = true
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -247,7 +247,14 @@
 	if e.Era <= w.storeEra {
 		return
 	}
+	restored := w.storeEra != 0
 	w.storeEra, w.storeEraSince = e.Era, now
+	if !restored {
+		return
+	}
+	for _, k := range w.groups.Keys() {
+		w.scheduleFloor(now, k)
+	}
 	for _, k := range w.promotions.Keys() {
 		p, _ := w.promotions.Get(k)
 		if p.Lease.ExpiresAt == 0 || p.Lease.StoreEra == e.Era || p.Stage == StageOpening {
--- a/internal/upstream/messages.go
+++ b/internal/upstream/messages.go
@@ -62,11 +62,12 @@
 	WriteStalled bool
 }
 
-// RouteLearned reports a group's primary, as a peer or the platform's store has announced it.
+// RouteLearned reports a group's primary and floor, as a peer or the platform's store has announced them. Either may be missing.
 type RouteLearned struct {
 	Group   string
 	Term    uint64
 	Primary string
+	Floor   session.Position
 }
 
 // VMListed reports whether the platform's list of VMs marks a server as leaving.
@@ -174,6 +175,12 @@
 	Primary string
 }
 
+// AnnounceFloor reports to the peers the position that a group's next primary must hold.
+type AnnounceFloor struct {
+	Group string
+	Floor session.Position
+}
+
 // RecordIntent records in the platform's store that a promotion begins. The promotion does not wait for the answer.
 type RecordIntent struct {
 	Group string
@@ -191,6 +198,7 @@
 func (OrderFollow) upstreamAction()      {}
 func (PublishView) upstreamAction()      {}
 func (AnnouncePrimary) upstreamAction()  {}
+func (AnnounceFloor) upstreamAction()    {}
 func (RecordIntent) upstreamAction()     {}
 func (WriteAuditRecord) upstreamAction() {}
 
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -16,6 +16,8 @@
 	groups     *table.Table[string, Group]
 	servers    *table.Table[string, Server]
 	promotions *table.Table[string, Promotion]
+	// lostFloors holds the groups whose floors the store may have lost. A group is due when its floor is to be recorded again.
+	lostFloors *table.Table[string, struct{}]
 	leases     *table.Table[string, observedLease]
 	peers      []string
 	nextStepAt time.Duration
@@ -101,6 +103,7 @@
 		groups:        table.New[string, Group](),
 		servers:       table.New[string, Server](),
 		promotions:    table.New[string, Promotion](),
+		lostFloors:    table.New[string, struct{}](),
 		leases:        table.New[string, observedLease](),
 		peers:         []string{node},
 		nextStepAt:    table.Never,
@@ -114,6 +117,7 @@
 		{"probes", sendProbes},
 		{"suspicion", updateSuspicions},
 		{"promotions", advancePromotions},
+		{"floors", recordFloors},
 		{"rejoin", orderFollowers},
 		{"views", publishViews},
 	}
@@ -137,7 +141,7 @@
 	for _, s := range w.systems {
 		s.run(w, now)
 	}
-	w.nextStepAt = min(w.servers.NextDue(), w.groups.NextDue(), w.promotions.NextDue())
+	w.nextStepAt = min(w.servers.NextDue(), w.groups.NextDue(), w.promotions.NextDue(), w.lostFloors.NextDue())
 	return w.actions, w.nextStepAt
 }
 
@@ -171,6 +175,7 @@
 	case PromoteAnswered:
 		w.applyPromoted(now, e)
 	case RouteLearned:
+		w.learnFloor(e.Group, e.Floor)
 		w.adoptRoute(now, e.Group, e.Term, e.Primary, nil, "told")
 	case VMListed:
 		if s, ok := w.servers.Get(e.Server); ok {
@@ -192,6 +197,8 @@
 		w.applyLeaseRequestFailed(now, e)
 	case StoreEraObserved:
 		w.applyStoreEra(now, e)
+	case FloorNotRecorded:
+		w.scheduleFloor(now, e.Group)
 	case PeersUpdated:
 		w.peers = slices.Clone(e.Nodes)
 		for _, k := range w.groups.Keys() {
