Fleet: nodes register again in each era of the store

What callers would see: nothing at once; nodes that start after a restore don't find those that it has lost, and split the fleet. Cause: a node writes its row into the member table once in its life. Change: a new era, seen in an answer of the store or in rows of another node, has each node read the member table and write its row again, within 2 s at random.

--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -37,6 +37,8 @@
 	// sooner; the table only reconnects parts of the fleet that have lost contact with each other.
 	minMembersInterval     = time.Minute
 	membersIntervalPerNode = 750 * time.Millisecond
+	// newEraDelay is the longest delay until a node registers again in a new era of the store.
+	newEraDelay = 2 * time.Second
 	// tableMembers holds one row per node that ever started, keyed by the node's peer address.
 	tableMembers = "buckthornport_members"
 )
@@ -129,8 +131,9 @@
 	}
 }
 
-// applyTable passes changed rows on to the control thread.
+// applyTable passes changed rows on to the control thread. Rows from another node may be the first that is heard of a new era.
 func (n *Node) applyTable(a listing.TableChanged) {
+	n.store.ObserveEra(a.Era)
 	switch {
 	case a.Table == platform.TableConfig:
 		for _, r := range a.Rows {
@@ -181,11 +184,12 @@
 	return e, true
 }
 
-// followMembers reads the member table at intervals until the node's context ends. This node registers after its first read, so
-// that it knows the fleet before it decides which groups it serves.
+// followMembers reads the member table at intervals and in each era of the store, until the node's context ends. This node
+// registers after its first read, so that it knows the fleet before it decides which groups it serves, and again in each era,
+// since the store may have lost its row.
 func (n *Node) followMembers() error {
 	delay := minRetryDelay
-	for registered := false; n.ctx.Err() == nil; {
+	for registeredIn := uint64(0); n.ctx.Err() == nil; {
 		rs, err := n.readMembers()
 		n.auditRead(tableMembers, err)
 		if err != nil {
@@ -194,15 +198,28 @@
 			continue
 		}
 		delay = minRetryDelay
-		if !registered {
-			registered = true
+		if registeredIn == 0 || registeredIn < rs.Era {
+			registeredIn = max(1, rs.Era)
 			go n.registerMember()
 		}
-		n.sleep(max(minMembersInterval, time.Duration(len(rs.Rows))*membersIntervalPerNode))
+		n.awaitMembersRead(max(minMembersInterval, time.Duration(len(rs.Rows))*membersIntervalPerNode))
 	}
 	return n.ctx.Err()
 }
 
+// awaitMembersRead waits until the member table must be read again: for the given time, or for a short one if the store begins a
+// new era. That time is random, so that a large fleet does not write to the store all at once.
+func (n *Node) awaitMembersRead(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-n.ctx.Done():
+	case <-t.C:
+	case <-n.eraBegun:
+		n.sleep(tick.Jitter(newEraDelay))
+	}
+}
+
 // readMembers reads the member table and passes the registered nodes on to the membership.
 func (n *Node) readMembers() (platform.Rows, error) {
 	ctx, stop := context.WithTimeout(n.ctx, storeCallTimeout)
--- a/internal/fleet/log.go
+++ b/internal/fleet/log.go
@@ -41,6 +41,10 @@
 	if previous == 0 {
 		return
 	}
+	select {
+	case n.eraBegun <- struct{}{}:
+	default:
+	}
 	n.writeAuditRecord(operator.Record{Kind: operator.KindDependency, Server: "store", Cause: "restored"}.
 		WithEvidence("before", strconv.FormatUint(previous, 10)).WithEvidence("era", strconv.FormatUint(era, 10)))
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -64,6 +64,8 @@
 	knownMembers int
 	// membersRead is set once the member table was read, or memberListTimeout has passed.
 	membersRead bool
+	// eraBegun holds a value after the store has begun a new era.
+	eraBegun chan struct{}
 	// sources are those that were last assigned to the mirror, nil at first.
 	sources *listing.SourcesAssigned
 	// lostTables holds the tables of which the last read failed.
@@ -130,7 +132,8 @@
 		limiter: operator.NewLimiter(), failovers: operator.NewFailoverMetrics(),
 		clock: tick.NewClock(), start: time.Now(),
 		members:    []peer.Update{{Name: s.Peer, Zone: s.Zone, Address: s.Peer, Weight: s.CPUWeight()}},
-		lostTables: map[string]bool{}, assignments: map[string]assignment{}, inboundStreams: map[*inboundStream]bool{},
+		lostTables: map[string]bool{}, eraBegun: make(chan struct{}, 1),
+		assignments: map[string]assignment{}, inboundStreams: map[*inboundStream]bool{},
 		lanes: map[string]*traffic.Lane{}, listedServers: map[string]listedServer{}, views: map[string]upstream.GroupView{},
 	}
 	for _, o := range opts {
--- a/internal/platform/mirror.go
+++ b/internal/platform/mirror.go
@@ -370,5 +370,7 @@
 		return
 	}
 	m.changedNow[c.Rules.Name] = true
-	m.actions = append(m.actions, TableChanged{Table: c.Rules.Name, Rows: rs, All: all, Source: v.source, Transfer: v.transfer})
+	m.actions = append(m.actions, TableChanged{
+		Table: c.Rules.Name, Era: v.era, Rows: rs, All: all, Source: v.source, Transfer: v.transfer,
+	})
 }
--- a/internal/platform/mirror_rows.go
+++ b/internal/platform/mirror_rows.go
@@ -261,6 +261,7 @@
 // Transfer how long they took to arrive.
 type TableChanged struct {
 	Table    string
+	Era      uint64
 	Rows     []Row
 	All      bool
 	Source   string
