Upstream: an answer about a lease from an earlier era of the store counts as none

Cause: an answer that was sent before a restore and arrives after another has shown the new era was taken as the current row, and the lease written over what the store has now. Change: it is handled as a request that failed. Measured: a subtest of TestLeaseOverRestores fails without the change (the lease is acquired) and passes with it.

--- a/internal/upstream/appointed_test.go
+++ b/internal/upstream/appointed_test.go
@@ -540,6 +540,14 @@
 		assertPromoteOrders(s)
 		assertNonePaused(s)
 	})
+	t.Run("an answer of an earlier era is not used", func(t *testing.T) {
+		s := newSimulation(qt.New(t))
+		s.startEra(2, upstream.Lease{Era: 2, Version: 3})
+		s.era = 1
+		s.refusing["p"] = true
+		s.run(2 * oldLeases)
+		s.c.Assert(s.lease.Holder, qt.Equals, "")
+	})
 	t.Run("a release in the future of another clock delays by no more than the handover", func(t *testing.T) {
 		s := newSimulation(qt.New(t))
 		s.startEra(2, upstream.Lease{Token: 2<<32 + 4, Actor: "n1", ReleasedMS: time.Hour.Milliseconds(), Era: 2, Version: 3})
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -189,9 +189,14 @@
 }
 
 // applyLeaseRead acquires a lease that is available, or waits until it is. The duration of another node's lease counts from when
-// this node first read it, so that the clocks of two nodes are never compared.
+// this node first read it, so that the clocks of two nodes are never compared. An answer of an earlier era of the store is as good
+// as none.
 func (w *Watch) applyLeaseRead(now time.Duration, e LeaseRead) {
 	w.applyStoreEra(now, StoreEraObserved{Era: e.Lease.StoreEra})
+	if e.Lease.StoreEra < w.storeEra {
+		w.applyLeaseRequestFailed(now, LeaseRequestFailed{Group: e.Group})
+		return
+	}
 	s, known := w.leases.Get(e.Group)
 	if !known || s.lease.Version != e.Lease.Version || s.lease.StoreEra != e.Lease.StoreEra {
 		s.firstReadAt = now
