--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -19,12 +19,12 @@
 	// configReadWait and configConfirmTimeout are short compared with the seconds within which a configuration must be in force: a
 	// node that the readers of its region no longer reach has to notice, and to read the store itself, in that time.
 	configReadWait       = time.Second
-	configConfirmTimeout = 1600 * time.Millisecond
+	configConfirmTimeout = 1500 * time.Millisecond
 	configBatchDelay     = 200 * time.Millisecond
 	// serversReadWait, serversConfirmTimeout and serversBatchDelay are short compared with the time after which a server that is being
 	// drained must get no new work.
 	serversReadWait       = 2500 * time.Millisecond
-	serversConfirmTimeout = 4 * time.Second
+	serversConfirmTimeout = 3500 * time.Millisecond
 	serversBatchDelay     = time.Second
 	// storeCallTimeout bounds a read of the member table and a write of one row.
 	storeCallTimeout = 2 * time.Second
@@ -37,6 +37,8 @@
 	// sooner; the table only reconnects parts of the fleet that have lost contact with each other.
 	minMembersInterval     = time.Minute
 	membersIntervalPerNode = 750 * time.Millisecond
+	// newEraDelay is the longest delay until a node registers again in a new era of the store.
+	newEraDelay = 2 * time.Second
 	// tableMembers holds one row per node that ever started, keyed by the node's peer address.
 	tableMembers = "buckthornport_members"
 )
@@ -70,11 +72,12 @@
 			near = append(near, u)
 		}
 	}
+	readers, substitutes := peer.StoreReaders(near)
 	a := listing.SourcesAssigned{
-		Reader:     slices.Contains(peer.StoreReaders(near), n.settings.Peer),
+		Reader: slices.Contains(readers, n.settings.Peer), Substitute: slices.Contains(substitutes, n.settings.Peer),
 		Successors: peer.Successors(n.settings.Peer, near),
 	}
-	if n.sources != nil && n.sources.Reader == a.Reader && slices.Equal(n.sources.Successors, a.Successors) {
+	if s := n.sources; s != nil && s.Reader == a.Reader && s.Substitute == a.Substitute && slices.Equal(s.Successors, a.Successors) {
 		return
 	}
 	n.sources = &a
@@ -128,8 +131,9 @@
 	}
 }
 
-// applyTable passes changed rows on to the control thread.
+// applyTable passes changed rows on to the control thread. Rows from another node may be the first that is heard of a new era.
 func (n *Node) applyTable(a listing.TableChanged) {
+	n.store.ObserveEra(a.Era)
 	switch {
 	case a.Table == platform.TableConfig:
 		for _, r := range a.Rows {
@@ -180,11 +184,12 @@
 	return e, true
 }
 
-// followMembers reads the member table at intervals until the node's context ends. This node registers after its first read, so
-// that it knows the fleet before it decides which groups it serves.
+// followMembers reads the member table at intervals and in each era of the store, until the node's context ends. This node
+// registers after its first read, so that it knows the fleet before it decides which groups it serves, and again in each era,
+// since the store may have lost its row.
 func (n *Node) followMembers() error {
 	delay := minRetryDelay
-	for registered := false; n.ctx.Err() == nil; {
+	for registeredIn := uint64(0); n.ctx.Err() == nil; {
 		rs, err := n.readMembers()
 		n.auditRead(tableMembers, err)
 		if err != nil {
@@ -193,15 +198,28 @@
 			continue
 		}
 		delay = minRetryDelay
-		if !registered {
-			registered = true
+		if registeredIn == 0 || registeredIn < rs.Era {
+			registeredIn = max(1, rs.Era)
 			go n.registerMember()
 		}
-		n.sleep(max(minMembersInterval, time.Duration(len(rs.Rows))*membersIntervalPerNode))
+		n.awaitMembersRead(max(minMembersInterval, time.Duration(len(rs.Rows))*membersIntervalPerNode))
 	}
 	return n.ctx.Err()
 }
 
+// awaitMembersRead waits until the member table must be read again: for the given time, or for a short one if the store begins a
+// new era. That time is random, so that a large fleet does not write to the store all at once.
+func (n *Node) awaitMembersRead(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-n.ctx.Done():
+	case <-t.C:
+	case <-n.eraBegun:
+		n.sleep(tick.Jitter(newEraDelay))
+	}
+}
+
 // readMembers reads the member table and passes the registered nodes on to the membership.
 func (n *Node) readMembers() (platform.Rows, error) {
 	ctx, stop := context.WithTimeout(n.ctx, storeCallTimeout)
--- a/internal/upstream/appointed_test.go
+++ b/internal/upstream/appointed_test.go
@@ -358,6 +358,16 @@
 		assertPromoteOrders(s, "a")
 		s.c.Assert(s.lease.Floor, qt.Equals, position(1, 100))
 	})
+	t.Run("no replica behind the position that a peer has announced", func(t *testing.T) {
+		s := newSimulation(qt.New(t))
+		s.step(upstream.RouteLearned{Group: "g", Floor: position(1, 101)})
+		s.refusing["p"] = true
+		s.run(3 * time.Second)
+		assertPromoteOrders(s)
+		s.setPosition("b", position(1, 101))
+		s.run(3 * time.Second)
+		assertPromoteOrders(s, "b")
+	})
 	t.Run("no replica after the restart of one that had promised", func(t *testing.T) {
 		s := newSimulation(qt.New(t))
 		s.refusing["p"] = true
@@ -530,6 +540,14 @@
 		assertPromoteOrders(s)
 		assertNonePaused(s)
 	})
+	t.Run("an answer of an earlier era is not used", func(t *testing.T) {
+		s := newSimulation(qt.New(t))
+		s.startEra(2, upstream.Lease{Era: 2, Version: 3})
+		s.era = 1
+		s.refusing["p"] = true
+		s.run(2 * oldLeases)
+		s.c.Assert(s.lease.Holder, qt.Equals, "")
+	})
 	t.Run("a release in the future of another clock delays by no more than the handover", func(t *testing.T) {
 		s := newSimulation(qt.New(t))
 		s.startEra(2, upstream.Lease{Token: 2<<32 + 4, Actor: "n1", ReleasedMS: time.Hour.Milliseconds(), Era: 2, Version: 3})
