Platform: an odd entry of another writer names no server

What callers would see: no change of primary in a group that an odd entry joined, since the replica that it names never answers; statements of a node's own with a line break in them at the server, from a key or service that holds one; shares of slots that overflow. Cause: an entry was taken for a server's if its JSON had the right types and its address parsed: port 0, 0.0.0.0, an address with a zone, capacities below zero or beyond any server, names with blanks and control characters passed. A row that the store's response held in another form cost the whole response, and so the list. Deep nesting, numbers too large and ports out of range ended no node and did not stop it from following the list.

--- /dev/null
+++ b/internal/fleet/odd_test.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"buckthornport.example/buckthornport/internal/standin/metadata"
+)
+
+// entry returns the entry of a server with some fields replaced by JSON text.
+func entry(fields ...string) []byte {
+	values := map[string]string{
+		"Service": `"books"`, "Addr": `"127.0.0.1:9"`, "Zone": `"a"`, "Capacity": "5", "State": `"ready"`, "Seq": "7", "born": "1",
+	}
+	for i := 0; i < len(fields); i += 2 {
+		values[fields[i]] = fields[i+1]
+	}
+	var b strings.Builder
+	for k, v := range values {
+		fmt.Fprintf(&b, `%s%q:%s`, map[bool]string{true: "{", false: ","}[b.Len() == 0], k, v)
+	}
+	return []byte(b.String() + "}")
+}
+
+// assertListFollowed checks that the nodes log the odd row, replace a failed primary in spite of it and apply later changes of the
+// list.
+func assertListFollowed(c *qt.C, d *deployment, odd string) {
+	c.Helper()
+	waitUntil(c, "the odd row is logged", func() bool {
+		for _, r := range d.log.records(c) {
+			if r.Server == odd && strings.HasSuffix(r.Cause, "_unreadable") {
+				return true
+			}
+		}
+		return false
+	})
+	for _, n := range d.nodes {
+		_, listed := n.view("books").Server(odd)
+		c.Assert(listed, qt.IsFalse, qt.Commentf("the odd row names a server"))
+	}
+	d.platform.ChangeServer("books", 2, metadata.Drain())
+	for _, n := range d.nodes {
+		waitUntil(c, "a later change is applied", func() bool {
+			s, ok := n.view("books").Server("i-books-3")
+			return ok && s.Leaving
+		})
+	}
+	d.platform.ChangeServer("books", 0, metadata.Down(true))
+	deadline := time.Now().Add(failoverTarget)
+	waitUntil(c, "another server is primary", func() bool {
+		n, term := d.platform.Primary("books")
+		return n > 0 && term > 1
+	})
+	c.Assert(time.Now().Before(deadline), qt.IsTrue)
+	assertAnswers(connect(c, d.nodes[0], "ledger"), "WRITE a 1", nil, "I")
+	assertNoViolations(c, d)
+}
+
+// failoverTarget is the time within which a change of primary must be over.
+const failoverTarget = 6 * time.Second
+
+// TestOddEntries guards against one row of another writer in the list of servers that ends the nodes that read the list, stops them
+// from following it, or names a server.
+func TestOddEntries(t *testing.T) {
+	for _, k := range []struct {
+		name, key string
+		value     []byte
+	}{
+		{"deeply nested", "i-odd", []byte(strings.Repeat("[", 60_000))},
+		{"deeply nested field", "i-odd", entry("Capacity", strings.Repeat(`{"a":`, 10_000))},
+		{"number too large", "i-odd", entry("Capacity", "1e400")},
+		{"capacity beyond any server", "i-odd", entry("Capacity", "4611686018427387904")},
+		{"negative capacity", "i-odd", entry("Capacity", "-5")},
+		{"start too large", "i-odd", entry("born", "99999999999999999999")},
+		{"port out of range", "i-odd", entry("Addr", `"127.0.0.1:65536"`)},
+		{"port zero", "i-odd", entry("Addr", `"127.0.0.1:0"`)},
+		{"address of no machine", "i-odd", entry("Addr", `"0.0.0.0:9"`)},
+		{"zone in the address", "i-odd", entry("Addr", `"[fe80::1%eth0]:9"`)},
+		{"service with a line break", "i-odd", entry("Service", `"books\r\nQUERY"`)},
+		{"key with a line break", "i-odd\r\nQUERY - STEPDOWN 9", entry()},
+		{"bytes that are no text", "i-odd", []byte{0xff, 0xfe, 0}},
+		{"empty", "i-odd", nil},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			d := startDeployment(c, 2)
+			d.platform.Put("servers", k.key, k.value)
+			assertListFollowed(c, d, k.key)
+		})
+	}
+}
