Fleet: an odd row of the member table is no node

What callers would see: groups without a node that serves them, for as long as a row with a large weight and no machine behind it counts as alive. Cause: any JSON object made a member of any key, and its weight won every choice of dispatchers and readers. Evidence: TestOddMembers on the code before, 4 of 5 cases fail. Change: a row names a node if its key is an address, its zone is configured and its weight can be a machine's; others are logged as row_unreadable. Measured: TestOddMembers passes; FuzzMember for 15 s finds nothing.

--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -12,6 +14,7 @@
 	"buckthornport.example/buckthornport/internal/peer"
 	listing "buckthornport.example/buckthornport/internal/platform"
 	"buckthornport.example/buckthornport/internal/tick"
+	"buckthornport.example/buckthornport/pkg/bundle"
 	"buckthornport.example/buckthornport/platform"
 )
 
@@ -230,13 +233,13 @@
 	}
 	var us []peer.Update
 	for _, r := range rs.Rows {
-		var m memberRow
-		if err := json.Unmarshal(r.Value, &m); err != nil {
+		u, err := decodeMember(r.Key, r.Value, n.settings.Zones)
+		if err != nil {
 			n.writeAuditRecord(operator.Record{Kind: operator.KindMember, Server: r.Key, Cause: "row_unreadable"}.
 				WithEvidence("error", err.Error()))
 			continue
 		}
-		us = append(us, peer.Update{Name: r.Key, Zone: m.Zone, Address: r.Key, Weight: m.Weight})
+		us = append(us, u)
 	}
 	n.thread.Post(peer.VMsListed{Updates: us})
 	return rs, nil
@@ -248,6 +251,29 @@
 	Weight uint32 `json:"weight"`
 }
 
+// maxMemberWeight is above the processor share of any machine, in thousandths of a core.
+const maxMemberWeight = 1_000_000
+
+// decodeMember decodes the row of a node. It returns an error for a row that describes no node of the deployment.
+func decodeMember(key string, raw []byte, zones bundle.Zones) (peer.Update, error) {
+	var m memberRow
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return peer.Update{}, err
+	}
+	a, err := netip.ParseAddrPort(key)
+	switch {
+	case err != nil:
+		return peer.Update{}, err
+	case a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast():
+		return peer.Update{}, fmt.Errorf("%q is not the address of a node", key)
+	case len(zones) > 0 && !slices.ContainsFunc(zones, func(z bundle.Zone) bool { return z.Name == m.Zone }):
+		return peer.Update{}, fmt.Errorf("zone %.40q is not configured", m.Zone)
+	case m.Weight > maxMemberWeight:
+		return peer.Update{}, fmt.Errorf("weight %d is above %d", m.Weight, maxMemberWeight)
+	}
+	return peer.Update{Name: key, Zone: m.Zone, Address: key, Weight: m.Weight}, nil
+}
+
 // registerMember writes this node's row into the member table. It retries, because the store may be unavailable when the node
 // starts.
 func (n *Node) registerMember() {
--- a/internal/fleet/odd_test.go
+++ b/internal/fleet/odd_test.go
@@ -8,7 +8,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/standin/metadata"
+	"buckthornport.example/buckthornport/pkg/bundle"
 )
 
 // entry returns the entry of a server with some fields replaced by JSON text.
@@ -94,3 +96,45 @@
 		})
 	}
 }
+
+// TestOddMembers guards against a row in the member table that names no node and is given work.
+func TestOddMembers(t *testing.T) {
+	for _, k := range []struct {
+		name, key, value string
+	}{
+		{"key that is no address", "nowhere", `{"zone":"a","weight":1000}`},
+		{"port zero", "127.0.0.1:0", `{"zone":"a","weight":1000}`},
+		{"weight beyond any machine", "127.0.0.1:9", `{"zone":"a","weight":4294967295}`},
+		{"zone that is not configured", "127.0.0.1:9", `{"zone":"elsewhere","weight":1000}`},
+		{"deeply nested", "127.0.0.1:9", strings.Repeat("[", 60_000)},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			d := startPlatform(c)
+			d.platform.Put(tableMembers, k.key, []byte(k.value))
+			d.startNode(c, "node-1", "a")
+			d.awaitReady(c)
+			waitUntil(c, "the odd row is logged", func() bool {
+				for _, r := range d.log.records(c) {
+					if r.Kind == operator.KindMember && r.Server == k.key && r.Cause == "row_unreadable" {
+						return true
+					}
+				}
+				return false
+			})
+			c.Assert(d.nodes[0].Status().Members, qt.HasLen, 1)
+		})
+	}
+}
+
+// FuzzMember checks that a row of the member table is refused or names a node of the deployment.
+func FuzzMember(f *testing.F) {
+	f.Add("127.0.0.1:9", []byte(`{"zone":"a","weight":1000}`))
+	zones := bundle.Zones{{Name: "a", Region: "r"}}
+	f.Fuzz(func(t *testing.T, key string, raw []byte) {
+		if u, err := decodeMember(key, raw, zones); err == nil && (u.Zone != "a" || u.Weight > maxMemberWeight || u.Address != key) {
+			t.Fatalf("%q with %q was decoded as %+v", key, raw, u)
+		}
+	})
+}
