Fleet: a group whose lease can't be read gets another primary

What callers would see: no change of primary for good in a group whose lease row holds something else. Cause: each read of the row failed and was repeated. Evidence: TestOddLease on the code before, 5 of 5 cases fail. Change: such a row counts as the lease of an unknown holder, which expires like any other; the next token follows from the store's clock and era, so that it is higher than those before. The row is logged as row_unreadable. Measured: TestOddLease passes, with a sixth case of a token that would overflow; FuzzLease for 10 s finds nothing.

--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
 	"buckthornport.example/buckthornport/internal/caller"
@@ -137,17 +138,36 @@
 	if err != nil {
 		return upstream.Lease{}, err
 	}
-	return decodeLease(r, sentAt)
+	return n.decodeLease(r, sentAt), nil
 }
 
-// decodeLease decodes a lease row that was requested at sentAt. The store read its clock at sentAt or later.
-func decodeLease(r platform.Row, sentAt time.Duration) (upstream.Lease, error) {
-	l := upstream.Lease{Version: r.Version}.WithStoreTime(r.StoreTime, sentAt).WithStoreEra(r.Era)
+const (
+	// unreadableHolder is the holder of a lease whose row can't be read.
+	unreadableHolder = "(unreadable)"
+	// maxToken is above all tokens that are given out. It leaves room for later ones.
+	maxToken = 1 << 62
+)
+
+// decodeLease decodes a lease row that was requested at sentAt. The store read its clock at sentAt or later. A row that can't be
+// read counts as the lease of an unknown holder. Its token is taken from the store's clock, which is ahead of all tokens of the
+// era, as they count orders.
+func (n *Node) decodeLease(r platform.Row, sentAt time.Duration) upstream.Lease {
+	empty := upstream.Lease{Version: r.Version}.WithStoreTime(r.StoreTime, sentAt).WithStoreEra(r.Era)
 	if r.Version == 0 {
-		return l, nil
+		return empty
 	}
+	l := empty
 	err := json.Unmarshal(r.Value, &l)
-	return l, err
+	if err == nil && l.Token > maxToken {
+		err = fmt.Errorf("token %d is above %d", l.Token, uint64(maxToken))
+	}
+	if err != nil {
+		n.writeAuditRecord(operator.Record{Kind: operator.KindLease, Group: r.Key, Cause: "row_unreadable"}.
+			WithEvidence("error", err.Error()))
+		l = empty
+		l.Holder, l.Token, l.Era = unreadableHolder, l.TokenFloor()+uint64(max(0, r.StoreTime.Milliseconds())), r.Era
+	}
+	return l
 }
 
 // acquireLease writes the lease if the row still has the lease's version. Otherwise it returns the stored lease and false. It
@@ -168,8 +188,7 @@
 		a.Lease.Version = r.Version
 		return a.Lease.WithStoreTime(r.StoreTime, sentAt), true, nil
 	}
-	l, err := decodeLease(r, sentAt)
-	return l, false, err
+	return n.decodeLease(r, sentAt), false, nil
 }
 
 // releaseLease writes the released lease. If the row was changed but still has the same fencing token, it repeats the write
@@ -187,8 +206,8 @@
 	if err != nil || released {
 		return err
 	}
-	if l, err := decodeLease(r, n.clock()); err != nil || l.Token != a.Lease.Token || l.StoreEra != a.Lease.StoreEra {
-		return err
+	if l := n.decodeLease(r, n.clock()); l.Token != a.Lease.Token || l.StoreEra != a.Lease.StoreEra {
+		return nil
 	}
 	_, _, err = n.store.CompareAndSet(ctx, tableLeases, a.Group, raw, r.Version)
 	return err
@@ -200,9 +219,9 @@
 	if err != nil {
 		return err
 	}
-	l, err := decodeLease(r, n.clock())
-	if err != nil || l.Floor.Covers(a.Floor) {
-		return err
+	l := n.decodeLease(r, n.clock())
+	if l.Floor.Covers(a.Floor) {
+		return nil
 	}
 	raw, err := json.Marshal(l.WithFloor(a.Floor))
 	if err != nil {
--- a/internal/fleet/odd_test.go
+++ b/internal/fleet/odd_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -9,8 +10,10 @@
 	qt "github.com/frankban/quicktest"
 
 	"buckthornport.example/buckthornport/internal/operator"
+	"buckthornport.example/buckthornport/internal/settings"
 	"buckthornport.example/buckthornport/internal/standin/metadata"
 	"buckthornport.example/buckthornport/pkg/bundle"
+	"buckthornport.example/buckthornport/platform"
 )
 
 // entry returns the entry of a server with some fields replaced by JSON text.
@@ -138,3 +141,36 @@
 		}
 	})
 }
+
+// TestOddLease guards against a group that never gets another primary because its lease can't be read.
+func TestOddLease(t *testing.T) {
+	for _, value := range []string{"", "[", `{"token":-1}`, `{"token":1e40,"holder":7}`, `{"token":18446744073709551615}`, strings.Repeat("[", 60_000)} {
+		t.Run(fmt.Sprintf("%.30s", value), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			d := startDeployment(c, 2)
+			d.platform.Put(tableLeases, "books", []byte(value))
+			d.platform.ChangeServer("books", 0, metadata.Down(true))
+			waitUntil(c, "another server is primary", func() bool {
+				n, _ := d.platform.Primary("books")
+				return n > 0
+			})
+			assertNoViolations(c, d)
+		})
+	}
+}
+
+// FuzzLease checks that any row yields a lease that belongs to its row, and that its successor's token is of the current era.
+func FuzzLease(f *testing.F) {
+	f.Add([]byte(`{"token":8589934593,"holder":"n1","era":2}`))
+	n, err := New(context.Background(), settings.FleetNode{Node: "n", Peer: "127.0.0.1:9", Store: "127.0.0.1:9"})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		l := n.decodeLease(platform.Row{Key: "g", Value: raw, Version: 7, Era: 2, StoreTime: time.Second}, 0)
+		if l.Version != 7 || l.StoreEra != 2 || l.WithHolder("n").Token <= 2<<32 {
+			t.Fatalf("%q was decoded as %+v", raw, l)
+		}
+	})
+}
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -61,12 +61,17 @@
 // WithHolder returns the lease as the named node acquires it, with the next fencing token. Tokens of an era are higher than those
 // of earlier eras, also than those that the store has lost.
 func (l Lease) WithHolder(node string) Lease {
-	l.Token = max(l.Token, l.StoreEra<<eraTokenBits) + 1
+	l.Token = max(l.Token, l.TokenFloor()) + 1
 	l.Holder = node
 	l.Era = l.StoreEra
 	return l
 }
 
+// TokenFloor returns a token that is lower than all of the store's current era, and higher than all of earlier ones.
+func (l Lease) TokenFloor() uint64 {
+	return l.StoreEra << eraTokenBits
+}
+
 // WithStoreEra returns the lease as read in the given era of the store.
 func (l Lease) WithStoreEra(era uint64) Lease {
 	l.StoreEra = era
