--- a/internal/fleet/odd_test.go
+++ b/internal/fleet/odd_test.go
@@ -144,7 +144,9 @@
 
 // TestOddLease guards against a group that never gets another primary because its lease can't be read.
 func TestOddLease(t *testing.T) {
-	for _, value := range []string{"", "[", `{"token":-1}`, `{"token":1e40,"holder":7}`, `{"token":18446744073709551615}`, strings.Repeat("[", 60_000)} {
+	for _, value := range []string{
+		"", "[", `{"token":-1}`, `{"token":1e40,"holder":7}`, `{"token":18446744073709551615}`, strings.Repeat("[", 60_000),
+	} {
 		t.Run(fmt.Sprintf("%.30s", value), func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
