Platform, fleet: one check of machine addresses; one setup for restores

Cause: the entries of servers and the rows of members were checked by two copies of the same lines, as were two tests set up. Change: CheckAddress serves both; startPastCopy.

--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -260,12 +259,10 @@
 	if err := json.Unmarshal(raw, &m); err != nil {
 		return peer.Update{}, err
 	}
-	a, err := netip.ParseAddrPort(key)
-	switch {
-	case err != nil:
+	if err := platform.CheckAddress(key); err != nil {
 		return peer.Update{}, err
-	case a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast():
-		return peer.Update{}, fmt.Errorf("%q is not the address of a node", key)
+	}
+	switch {
 	case len(zones) > 0 && !slices.ContainsFunc(zones, func(z bundle.Zone) bool { return z.Name == m.Zone }):
 		return peer.Update{}, fmt.Errorf("zone %.40q is not configured", m.Zone)
 	case m.Weight > maxMemberWeight:
--- a/internal/fleet/restore_test.go
+++ b/internal/fleet/restore_test.go
@@ -18,16 +18,23 @@
 	return fmt.Appendf(nil, config, version, fmt.Sprintf(`,{"Name":"n","Host":"new%d","Kind":"primary","Service":"books"}`, version))
 }
 
+// startPastCopy returns a deployment whose nodes have read past the version that it returns, to which the store can be restored.
+func startPastCopy(c *qt.C) (*deployment, uint64) {
+	c.Helper()
+	d := startDeployment(c, 3)
+	copied := d.platform.Version()
+	for i := range 10 {
+		d.platform.Put("noise", fmt.Sprint(i), nil)
+	}
+	time.Sleep(restoreConfirmTime)
+	return d, copied
+}
+
 // TestChangesAfterRestore guards against configurations that nodes miss because the store gives versions out again.
 func TestChangesAfterRestore(t *testing.T) {
 	t.Run("a change below the version that the nodes have read", func(t *testing.T) {
 		c := qt.New(t)
-		d := startDeployment(c, 3)
-		copied := d.platform.Version()
-		for i := range 10 {
-			d.platform.Put("noise", fmt.Sprint(i), nil)
-		}
-		time.Sleep(restoreConfirmTime)
+		d, copied := startPastCopy(c)
 		d.platform.Restore(copied, func(put func(table, key string, value []byte)) {
 			put("op", "config", newRoute(5))
 			for i := range 20 {
@@ -38,12 +45,7 @@
 	})
 	t.Run("a change while the store is below the version that the nodes have read", func(t *testing.T) {
 		c := qt.New(t)
-		d := startDeployment(c, 3)
-		copied := d.platform.Version()
-		for i := range 10 {
-			d.platform.Put("noise", fmt.Sprint(i), nil)
-		}
-		time.Sleep(restoreConfirmTime)
+		d, copied := startPastCopy(c)
 		d.platform.Restore(copied, nil)
 		time.Sleep(restoreConfirmTime)
 		d.platform.Put("op", "config", newRoute(5))
