--- a/internal/fleet/restore_test.go
+++ b/internal/fleet/restore_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand"
+	"os"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -210,3 +213,82 @@
 		})
 	}
 }
+
+// restoredDay is a deployment on which a drawn sequence of faults is played.
+type restoredDay struct {
+	*deployment
+	c       *qt.C
+	random  *rand.Rand
+	version int
+	// versions are those of the store after each step, to which it may be restored.
+	versions []uint64
+}
+
+func (d *restoredDay) step(i int) {
+	d.versions = append(d.versions, d.platform.Version())
+	switch d.random.Intn(6) {
+	case 0, 1:
+		d.version++
+		d.platform.Put("op", "config", newRoute(d.version))
+	case 2:
+		d.platform.Restore(d.versions[max(0, len(d.versions)-1-d.random.Intn(6))], nil)
+		d.versions = nil
+		time.Sleep(time.Duration(d.random.Intn(2000)) * time.Millisecond)
+		d.platform.WriteAgain()
+	case 3:
+		primary, _ := d.platform.Primary("books")
+		if primary < 0 {
+			return
+		}
+		d.platform.ChangeServer("books", primary, metadata.Down(true))
+		time.Sleep(time.Duration(500+d.random.Intn(2500)) * time.Millisecond)
+		d.platform.ChangeServer("books", primary, metadata.Down(false))
+	case 4:
+		n := d.random.Intn(len(d.nodes))
+		d.nodes[n].Stop()
+		d.nodes = slices.Delete(d.nodes, n, n+1)
+		d.startNode(d.c, fmt.Sprintf("added-%d", i), "a")
+	case 5:
+		s := connect(d.c, d.nodes[0], "ledger")
+		if s.greeting == "READY I -" {
+			s.run(fmt.Sprintf("WRITE a %d", i))
+		}
+	}
+}
+
+// restoredDays is the number of days that TestRestoredDays plays, unless the environment says otherwise.
+const restoredDays = 6
+
+func environmentInt(c *qt.C, name string, otherwise int) int {
+	v := os.Getenv(name)
+	if v == "" {
+		return otherwise
+	}
+	n, err := strconv.Atoi(v)
+	c.Assert(err, qt.IsNil)
+	return n
+}
+
+// TestRestoredDays guards against any rule that breaks when restores of the store meet failovers, lost nodes and changes of the
+// configuration. BUCKTHORNPORT_SEED is the first seed and BUCKTHORNPORT_RUNS the number of seeds.
+func TestRestoredDays(t *testing.T) {
+	first := environmentInt(qt.New(t), "BUCKTHORNPORT_SEED", 0)
+	for seed := first; seed < first+environmentInt(qt.New(t), "BUCKTHORNPORT_RUNS", restoredDays); seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			d := &restoredDay{deployment: startDeployment(c, 3), c: c, random: rand.New(rand.NewSource(int64(seed))), version: 4}
+			for i := range 14 {
+				d.step(i)
+				time.Sleep(time.Duration(d.random.Intn(1200)) * time.Millisecond)
+			}
+			d.platform.WriteAgain()
+			d.version++
+			d.platform.Put("op", "config", newRoute(d.version))
+			d.awaitReady(c)
+			assertInForce(c, d.deployment, uint64(d.version), time.Now().Add(configTarget))
+			assertAnswers(connect(c, d.nodes[0], "ledger"), "WRITE last 1", nil, "I")
+			assertNoViolations(c, d.deployment)
+		})
+	}
+}
--- a/internal/platform/mirror.go
+++ b/internal/platform/mirror.go
@@ -100,11 +100,6 @@
 	return m, nil
 }
 
-// Copy returns how far the copy of a table reaches, and whether the table is followed.
-func (m *Mirror) Copy(name string) (Copy, bool) {
-	return m.copies.Get(name)
-}
-
 // Step applies the events since the last step. It returns the resulting actions, and the time by which Step must be called again.
 func (m *Mirror) Step(now time.Duration, es []MirrorEvent) ([]MirrorAction, time.Duration) {
 	m.actions = nil
--- a/internal/standin/metadata/group.go
+++ b/internal/standin/metadata/group.go
@@ -39,6 +39,8 @@
 	listener net.Listener
 	// address is the address that the platform lists. It may be that of another server.
 	address string
+	// state is the one that the server wrote last.
+	state   string
 	conns   map[net.Conn]bool
 	primary bool
 	term    uint64
@@ -82,13 +84,15 @@
 
 // listServer writes a server's entry in the platform's list. p.mu must be held.
 func (p *Platform) listServer(s *server, state string) {
+	s.state = state
+	p.entries++
 	role := "replica"
 	if s.primary {
 		role = "primary"
 	}
 	raw, err := json.Marshal(map[string]any{
 		"Service": s.group.name, "Addr": s.address, "Zone": s.zone, "Version": "v1", "Capacity": 5,
-		"State": state, "WarmupLeftMs": 0, "DbRole": role, "Seq": p.version, "born": 1,
+		"State": state, "WarmupLeftMs": 0, "DbRole": role, "Seq": p.entries, "born": 1,
 	})
 	if err != nil {
 		panic(err)
--- a/internal/standin/metadata/restore.go
+++ b/internal/standin/metadata/restore.go
@@ -53,3 +53,17 @@
 	defer p.mu.Unlock()
 	return p.rows[rowKey{table, key}].value
 }
+
+// WriteAgain writes what the operator and the servers wrote last, as they do after a restore.
+func (p *Platform) WriteAgain() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.put(row{rowKey: rowKey{"op", "config"}, value: p.config})
+	for _, g := range p.groups {
+		for _, s := range g.servers {
+			if !s.down {
+				p.listServer(s, s.state)
+			}
+		}
+	}
+}
--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -20,8 +20,11 @@
 	version uint64
 	// oldestVersion is the version from which the history is complete.
 	oldestVersion uint64
-	// era counts the restores of the store, from one on.
+	// era counts the restores of the store, from one on. entries counts what the servers wrote, and config is what the operator wrote
+	// last, for writing it again.
 	era     uint64
+	entries uint64
+	config  []byte
 	rows    map[rowKey]row
 	history []row
 	faults  StoreFaults
@@ -82,6 +85,9 @@
 func (p *Platform) Put(table, key string, value []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if table == "op" {
+		p.config = value
+	}
 	p.put(row{rowKey: rowKey{table, key}, value: value})
 }
 
