Platform: an older entry of a restored list waits, and counts if its server does not write again

What callers would see: a server that lives and is never used again, nor promoted, after a restore that went back behind its removal from the list. Cause: a removal, or a later entry, was kept until the server's row changed. A server changes its row only if more than its number does, so that one whose restored entry says what it would write may never change it. Later versions of the configuration stay with the mirror, as their writer always writes again.

--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -55,7 +55,6 @@
 		}),
 		listing.WithTable(listing.TableRules{
 			Name: platform.TableServers, ReadWait: serversReadWait, ConfirmTimeout: serversConfirmTimeout, BatchDelay: serversBatchDelay,
-			CompareAge: platform.CompareEntries,
 		}))
 }
 
@@ -144,7 +143,7 @@
 			}
 		}
 	case a.All:
-		n.replaceServers(a.Rows)
+		n.replaceServers(a.Rows, a.Restored)
 	default:
 		for _, r := range a.Rows {
 			n.updateServerRow(r)
@@ -152,15 +151,15 @@
 	}
 }
 
-// replaceServers passes a complete list of the servers on to the control thread.
-func (n *Node) replaceServers(rs []listing.Row) {
+// replaceServers passes a complete list of the servers on to the control thread. A restored list may be older than what is known.
+func (n *Node) replaceServers(rs []listing.Row, restored bool) {
 	var es []listing.Entry
 	for _, r := range rs {
 		if e, ok := n.decodeServerRow(r); ok {
 			es = append(es, e)
 		}
 	}
-	n.thread.Post(listing.ListRead{Entries: es})
+	n.thread.Post(listing.ListRead{Entries: es, Restored: restored})
 }
 
 // updateServerRow passes a changed or removed server on to the control thread. An unreadable row counts as removed.
--- a/internal/platform/directory_test.go
+++ b/internal/platform/directory_test.go
@@ -84,4 +84,47 @@
 		e.Incarnation = 7
 		assertChanges(h, h.step(platform.EntryWritten{Entry: e}), "a")
 	})
+	for _, k := range []struct {
+		name   string
+		before func(h *harness)
+	}{
+		{"an older entry of a restored list", func(h *harness) {
+			e := server("a").WithSeq(9)
+			e.Leaving = true
+			assertChanges(h, h.step(platform.EntryWritten{Entry: e}), "a")
+		}},
+		{"the entry of a removed server in a restored list", func(h *harness) {
+			h.step(platform.EntryRemoved{ID: "a"})
+			h.now += platform.RemovalGrace
+			assertChanges(h, h.step(), "a removed")
+		}},
+	} {
+		restore := func(t *testing.T) *harness {
+			h := newHarness(t)
+			k.before(h)
+			assertChanges(h, h.step(platform.ListRead{Entries: []platform.Entry{server("a"), server("b")}, Restored: true}))
+			h.now += platform.RestoredGrace - time.Millisecond
+			assertChanges(h, h.step(platform.ListRead{Entries: []platform.Entry{server("a"), server("b")}}))
+			return h
+		}
+		t.Run(k.name+" waits, and counts if it is not written again", func(t *testing.T) {
+			h := restore(t)
+			h.now += time.Millisecond
+			assertChanges(h, h.step(), "a")
+		})
+		t.Run(k.name+" waits, and does not count if it disappears", func(t *testing.T) {
+			h := restore(t)
+			h.step(platform.EntryRemoved{ID: "a"})
+			h.now += time.Millisecond
+			assertChanges(h, h.step())
+		})
+		t.Run(k.name+" waits, and an entry that is written meanwhile counts at once", func(t *testing.T) {
+			h := restore(t)
+			e := server("a").WithSeq(3)
+			e.Slots = 4
+			assertChanges(h, h.step(platform.EntryWritten{Entry: e}), "a")
+			h.now += platform.RestoredGrace
+			assertChanges(h, h.step())
+		})
+	}
 }
--- a/internal/platform/mirror.go
+++ b/internal/platform/mirror.go
@@ -243,8 +243,10 @@
 	era        uint64
 	version    uint64
 	lastChange uint64
-	source     string
-	transfer   time.Duration
+	// restored is set for the first change of a copy after the store came back from a copy.
+	restored bool
+	source   string
+	transfer time.Duration
 }
 
 // update applies a change to a copy and reports whether the table changed. A copy that is as new already stays as it is, except for
@@ -252,6 +254,7 @@
 func (m *Mirror) update(c Copy, v change) (Copy, bool) {
 	stale := c.Known && (v.era < c.Era || v.era == c.Era && v.version < c.Version)
 	newEra := v.era != c.Era
+	v.restored = newEra && c.Era != 0
 	rows := m.rows[c.Rules.Name]
 	changed := !c.Known
 	listed := map[string]bool{}
@@ -318,12 +321,6 @@
 }
 
 func (m *Mirror) put(name string, old, r Row) {
-	if r.Deleted {
-		r.lastValue = old.Value
-		if old.Deleted {
-			r.lastValue = old.lastValue
-		}
-	}
 	m.rows[name].Put(r.Key, r)
 	switch {
 	case r.Deleted && !old.Deleted:
@@ -366,6 +363,6 @@
 	}
 	m.changedNow[c.Rules.Name] = true
 	m.actions = append(m.actions, TableChanged{
-		Table: c.Rules.Name, Era: v.era, Rows: rs, All: all, Source: v.source, Transfer: v.transfer,
+		Table: c.Rules.Name, Era: v.era, Rows: rs, All: all, Restored: v.restored, Source: v.source, Transfer: v.transfer,
 	})
 }
--- a/internal/platform/mirror_rows.go
+++ b/internal/platform/mirror_rows.go
@@ -16,8 +16,6 @@
 	Deleted bool
 	// Delta is set in a message if Value is the difference to the value that the receiver has.
 	Delta bool
-	// lastValue is the value that a deleted row had.
-	lastValue []byte
 }
 
 // replaces reports whether a row replaces another of the same era: it is of a later version of the store, or of the same one and
@@ -29,16 +27,10 @@
 	return t.CompareAge != nil && !r.Deleted && !old.Deleted && t.CompareAge(r.Value, old.Value) > 0
 }
 
-// latest returns a row that was read in a new era of the store, or its remembered state if the store has lost that: a later value,
-// or its removal after the value that was read.
+// latest returns a row that was read in a new era of the store, with the remembered value if that is a later one, which the store
+// has lost.
 func (t TableRules) latest(r, remembered Row) Row {
-	if t.CompareAge == nil || r.Deleted {
-		return r
-	}
-	switch {
-	case remembered.Deleted && remembered.lastValue != nil && t.CompareAge(r.Value, remembered.lastValue) <= 0:
-		r.Value, r.Deleted = nil, true
-	case !remembered.Deleted && t.CompareAge(r.Value, remembered.Value) < 0:
+	if t.CompareAge != nil && !r.Deleted && !remembered.Deleted && t.CompareAge(r.Value, remembered.Value) < 0 {
 		r.Value = remembered.Value
 	}
 	return r
@@ -257,13 +249,15 @@
 	Message TableMessage
 }
 
-// TableChanged reports changed rows, or all rows of the table if All is set. Source is SourceStore or the node that sent them, and
+// TableChanged reports changed rows, or all rows of the table if All is set. Restored is set for the first rows after the store
+// came back from a copy: they may be older than what was known before. Source is SourceStore or the node that sent them, and
 // Transfer how long they took to arrive.
 type TableChanged struct {
 	Table    string
 	Era      uint64
 	Rows     []Row
 	All      bool
+	Restored bool
 	Source   string
 	Transfer time.Duration
 }
