--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -25,8 +25,8 @@
 	configBatchDelay     = 200 * time.Millisecond
 	// serversReadWait, serversConfirmTimeout and serversBatchDelay are short compared with the time after which a server that is being
 	// drained must get no new work.
-	serversReadWait       = 2500 * time.Millisecond
-	serversConfirmTimeout = 3500 * time.Millisecond
+	serversReadWait       = 1500 * time.Millisecond
+	serversConfirmTimeout = 2500 * time.Millisecond
 	serversBatchDelay     = time.Second
 	// storeCallTimeout bounds a read of the member table and a write of one row.
 	storeCallTimeout = 2 * time.Second
