Platform: nodes wait for a change that is on its way

Cause: a transfer that takes longer than a confirmation may looked like lost readers. The stand-in's link served one answer after the other and hid it; now answers share it in packets. Change: a reader reports each 0.5 s that bytes arrive; that is passed on like a confirmation and lets substitutes wait until 2.25 s, others until 10 s after their last confirmation. A confirmation that has not advanced no longer postpones a read. Why it works: no more than four nodes of a region read a change while it moves; readers that are lost report nothing, and substitutes take over as before.

--- a/internal/fleet/config_test.go
+++ b/internal/fleet/config_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/base64"
 	"fmt"
 	"strings"
 	"testing"
@@ -16,6 +17,8 @@
 	configTarget = 3 * time.Second
 	// narrowLink is the bandwidth in bytes per second between the store and the region q.
 	narrowLink = 200_000
+	// maxCopies is one more than the readers and substitutes of a region, which may each read a change once.
+	maxCopies = 5
 )
 
 // manyRoutes returns the JSON of routes to append to config.
@@ -39,24 +42,43 @@
 	}
 }
 
+// startBehindLink returns a deployment with three quarters of its nodes behind a narrow link to the store.
+func startBehindLink(c *qt.C, nodes int) (*deployment, *metadata.Link) {
+	c.Helper()
+	d := startPlatform(c)
+	link := metadata.NewLink(narrowLink)
+	d.regionLinks = map[string]*metadata.Link{"q": link}
+	for i := range nodes {
+		d.startNode(c, fmt.Sprintf("node-%d", i+1), []string{"a", "m", "m", "m"}[i%4])
+	}
+	d.awaitReady(c)
+	for _, n := range d.nodes {
+		waitUntil(c, "all nodes are members", func() bool { return len(n.Status().Members) == len(d.nodes) })
+	}
+	return d, link
+}
+
 // TestConfigOverNarrowLink guards against one copy of a large configuration for each node of a region, which take the link between
 // regions longer than an acknowledged change may take.
 func TestConfigOverNarrowLink(t *testing.T) {
 	t.Run("two large configurations in succession", func(t *testing.T) {
 		c := qt.New(t)
-		d := startPlatform(c)
-		link := metadata.NewLink(narrowLink)
-		d.regionLinks = map[string]*metadata.Link{"q": link}
-		for i := range 16 {
-			d.startNode(c, fmt.Sprintf("node-%d", i+1), []string{"a", "m", "m", "m"}[i%4])
-		}
-		d.awaitReady(c)
-		for _, n := range d.nodes {
-			waitUntil(c, "all nodes are members", func() bool { return len(n.Status().Members) == len(d.nodes) })
-		}
+		d, link := startBehindLink(c, 16)
 		d.platform.Put("op", "config", fmt.Appendf(nil, config, 5, manyRoutes("more", 500)))
 		d.platform.Put("op", "config", fmt.Appendf(nil, config, 7, manyRoutes("more", 500)))
 		assertInForce(c, d, 7, time.Now().Add(configTarget))
 		c.Logf("%d bytes crossed the link", link.Bytes())
 	})
+	t.Run("a configuration that takes longer than a confirmation may", func(t *testing.T) {
+		c := qt.New(t)
+		d, link := startBehindLink(c, 20)
+		before := link.Bytes()
+		large := fmt.Appendf(nil, config, 5, manyRoutes("more", 1500))
+		d.platform.Put("op", "config", large)
+		for _, n := range d.nodes {
+			waitUntil(c, "the configuration is in force", func() bool { return n.routes.Load().bundle.Version == 5 })
+		}
+		copies := float64(link.Bytes()-before) / float64(base64.StdEncoding.EncodedLen(len(large)))
+		c.Check(copies < maxCopies, qt.IsTrue, qt.Commentf("%.1f copies crossed the link", copies))
+	})
 }
--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -94,7 +94,8 @@
 		return rowsRead(rs, true), err
 	}
 	t.ReadChanges = func(ctx context.Context, a listing.ReadChanges) (listing.RowsRead, error) {
-		rs, err := n.store.Feed(ctx, a.Table, a.After, a.Wait)
+		progress := func() { n.thread.Post(listing.ReadProgressed{Table: a.Table}) }
+		rs, err := n.store.Feed(ctx, a.Table, a.After, a.Wait, progress)
 		n.auditRead(a.Table, err)
 		return rowsRead(rs, false), err
 	}
--- a/internal/platform/mirror.go
+++ b/internal/platform/mirror.go
@@ -24,6 +24,9 @@
 	maxReadBackoff = 800 * time.Millisecond
 	// firstRequests is how many nodes a node without a copy asks for one.
 	firstRequests = 2
+	// maxArrivalWait is how long after its last confirmation a node that is neither reader nor substitute waits for a change that is
+	// on its way.
+	maxArrivalWait = 10 * time.Second
 	// followerPatience is how many times longer than a substitute another node waits for a confirmation.
 	followerPatience = 1.5
 	// maxDeletedRows is the number of deleted rows that a copy keeps in order to report them to other nodes.
@@ -120,6 +123,10 @@
 		m.applyRead(now, e)
 	case ReadFailed:
 		m.applyReadFailure(now, e)
+	case ReadProgressed:
+		if c, ok := m.copies.Get(e.Table); ok {
+			m.passArriving(now, c, now)
+		}
 	case MessageReceived:
 		m.receive(now, e.From, e.Message)
 	}
@@ -203,7 +210,7 @@
 	c = c.WithConfirmed(now)
 	switch {
 	case !m.sources.Reader:
-		c = m.withNextRead(now, c)
+		c = m.withReadPostponed(c.WithReadAt(now + minReadInterval))
 	case changed:
 		c = c.WithReadAt(now + c.Rules.BatchDelay)
 	default:
@@ -212,14 +219,17 @@
 	m.schedule(c)
 }
 
-// withNextRead returns the row of a copy with the time at which a node that is no reader reads the store unless the copy is
-// confirmed before.
-func (m *Mirror) withNextRead(now time.Duration, c Copy) Copy {
-	timeout := c.Rules.ConfirmTimeout
-	if !m.sources.Substitute {
-		timeout = time.Duration(followerPatience * float64(timeout))
+// withReadPostponed returns the row of a copy with the time at which a node that is no reader reads the store unless the copy is
+// confirmed before. While a change is on its way to another node, it waits longer, substitutes a little and all others up to
+// maxArrivalWait: more copies would hold each other up.
+func (m *Mirror) withReadPostponed(c Copy) Copy {
+	followerTimeout := time.Duration(followerPatience * float64(c.Rules.ConfirmTimeout))
+	timeout, limit := followerTimeout, maxArrivalWait
+	if m.sources.Substitute {
+		timeout, limit = c.Rules.ConfirmTimeout, followerTimeout
 	}
-	return c.WithReadAt(max(now, c.ConfirmedAt+timeout) + m.jitter(c.Rules.ConfirmTimeout/4))
+	at := max(c.ConfirmedAt+timeout, min(c.ArrivingAt+timeout, c.ConfirmedAt+limit))
+	return c.WithReadAt(max(c.ReadAt, at+m.jitter(c.Rules.ConfirmTimeout/4)))
 }
 
 func (m *Mirror) applyReadFailure(now time.Duration, e ReadFailed) {
--- a/internal/platform/mirror_peers.go
+++ b/internal/platform/mirror_peers.go
@@ -18,6 +18,8 @@
 		m.receiveRequest(now, c, from, t)
 	case TableSent:
 		m.receiveRows(now, c, from, t)
+	case TableArriving:
+		m.passArriving(now, c, now-t.Age)
 	}
 }
 
@@ -36,7 +38,7 @@
 	case t.Version < c.LastChange:
 		m.send(from, m.announcement(now, c))
 	default:
-		m.confirm(now, c.WithVersion(max(c.Version, t.Version), c.LastChange), now-t.Age)
+		m.confirm(c.WithVersion(max(c.Version, t.Version), c.LastChange), now-t.Age)
 	}
 }
 
@@ -49,14 +51,29 @@
 }
 
 // confirm records that the copy was complete at the given time.
-func (m *Mirror) confirm(now time.Duration, c Copy, at time.Duration) {
+func (m *Mirror) confirm(c Copy, at time.Duration) {
 	c = c.WithConfirmed(at)
 	if !m.sources.Reader && !c.Reading {
-		c = m.withNextRead(now, c)
+		c = m.withReadPostponed(c)
 	}
 	m.schedule(c)
 }
 
+// passArriving records that a change was on its way at the given time, and passes that on when it has advanced by announceInterval.
+func (m *Mirror) passArriving(now time.Duration, c Copy, at time.Duration) {
+	if at < c.ArrivingAt+announceInterval {
+		return
+	}
+	c = c.WithArriving(at)
+	if !m.sources.Reader && !c.Reading {
+		c = m.withReadPostponed(c)
+	}
+	m.schedule(c)
+	for _, p := range m.sources.Successors {
+		m.send(p, TableMessage{Kind: TableArriving, Table: c.Rules.Name, Age: now - at})
+	}
+}
+
 // receiveRequest sends a node the changes that it lacks. A node that has no copy yet, or only one of an earlier era, answers once
 // it has one.
 func (m *Mirror) receiveRequest(now time.Duration, c Copy, from string, t TableMessage) {
@@ -124,7 +141,7 @@
 		v.transfer = now - c.RequestedAt
 	}
 	c, _ = m.update(c.WithRequest(0), v)
-	m.confirm(now, c, now-t.Age)
+	m.confirm(c, now-t.Age)
 }
 
 // announce passes changes on to the successors at once, and confirmations when they have advanced by announceInterval.
--- a/internal/platform/mirror_rows.go
+++ b/internal/platform/mirror_rows.go
@@ -80,6 +80,8 @@
 	// was last passed on.
 	ConfirmedAt time.Duration
 	AnnouncedAt time.Duration
+	// ArrivingAt is the latest time at which a change is known to have been on its way from the store to a node of the region.
+	ArrivingAt time.Duration
 	// Reading is set while a read of the store is under way. ReadAt is when the next one begins. Failures counts the failed reads
 	// since the last successful one.
 	Reading  bool
@@ -122,6 +124,12 @@
 	return c
 }
 
+// WithArriving returns the row of a copy of which a change was on its way at the given time.
+func (c Copy) WithArriving(at time.Duration) Copy {
+	c.ArrivingAt = max(c.ArrivingAt, at)
+	return c
+}
+
 // WithAnnounced returns the row after a confirmation was passed on to the successors and the nodes that waited.
 func (c Copy) WithAnnounced(at time.Duration) Copy {
 	c.AnnouncedAt = at
@@ -172,6 +180,8 @@
 	TableRequested
 	// TableSent holds the changes after a version, or the whole table.
 	TableSent
+	// TableArriving says that a change is on its way from the store, which takes long.
+	TableArriving
 )
 
 // TableMessage is a message between two nodes about their copies of a table.
@@ -182,7 +192,7 @@
 	Era        uint64
 	Version    uint64
 	LastChange uint64
-	// Age is how long ago the sender's copy is known to have been complete.
+	// Age is how long ago the sender's copy is known to have been complete, or the change to have been on its way.
 	Age   time.Duration
 	After uint64
 	All   bool
@@ -211,6 +221,11 @@
 	Transfer time.Duration
 }
 
+// ReadProgressed reports that a part of the store's answer to a read has arrived.
+type ReadProgressed struct {
+	Table string
+}
+
 // ReadFailed reports a read without an answer. HistoryGone is set if the store no longer has the changes that were asked for.
 type ReadFailed struct {
 	Table       string
@@ -226,6 +241,7 @@
 func (SourcesAssigned) mirrorEvent() {}
 func (RowsRead) mirrorEvent()        {}
 func (ReadFailed) mirrorEvent()      {}
+func (ReadProgressed) mirrorEvent()  {}
 func (MessageReceived) mirrorEvent() {}
 
 // MirrorAction is an output of a Mirror.
--- a/internal/platform/mirror_test.go
+++ b/internal/platform/mirror_test.go
@@ -425,3 +425,83 @@
 		}
 	}
 }
+
+// follower drives the mirror of one node that hears of its table from another one.
+type follower struct {
+	c     *qt.C
+	m     *platform.Mirror
+	now   time.Duration
+	wake  time.Duration
+	reads int
+}
+
+func newFollower(c *qt.C, substitute bool) *follower {
+	m, err := platform.NewMirror(platform.WithTable(platform.TableRules{Name: "t", ConfirmTimeout: 1500 * time.Millisecond}))
+	c.Assert(err, qt.IsNil)
+	f := &follower{c: c, m: m, now: time.Second}
+	f.step(platform.SourcesAssigned{Substitute: substitute, Successors: []string{"n1"}})
+	f.hear(platform.TableMessage{Kind: platform.TableSent, All: true, Version: 5, LastChange: 5})
+	return f
+}
+
+func (f *follower) step(es ...platform.MirrorEvent) {
+	var as []platform.MirrorAction
+	as, f.wake = f.m.Step(f.now, es)
+	for _, a := range as {
+		switch a.(type) {
+		case platform.ReadChanges, platform.ReadTable:
+			f.reads++
+		}
+	}
+}
+
+func (f *follower) hear(t platform.TableMessage) {
+	t.Table = "t"
+	f.step(platform.MessageReceived{From: "n1", Message: t})
+}
+
+// run advances the time by d. The node hears each half second that a change is on its way, if arriving is set.
+func (f *follower) run(d time.Duration, arriving bool) {
+	for end := f.now + d; f.now < end; {
+		f.now += 500 * time.Millisecond
+		if arriving {
+			f.hear(platform.TableMessage{Kind: platform.TableArriving})
+		} else {
+			f.step()
+		}
+	}
+}
+
+// TestMirrorWhileAChangeArrives guards against a slow link that each node makes slower by a copy of its own, and against a node
+// that waits for others without end.
+func TestMirrorWhileAChangeArrives(t *testing.T) {
+	t.Run("a node waits while the change is on its way to a reader", func(t *testing.T) {
+		f := newFollower(qt.New(t), false)
+		f.run(8*time.Second, true)
+		f.c.Assert(f.reads, qt.Equals, 0)
+	})
+	t.Run("but no longer once it no longer arrives", func(t *testing.T) {
+		f := newFollower(qt.New(t), false)
+		f.run(4*time.Second, true)
+		f.run(inForceTarget, false)
+		f.c.Assert(f.reads, qt.Equals, 1)
+	})
+	t.Run("nor if it takes too long", func(t *testing.T) {
+		f := newFollower(qt.New(t), false)
+		f.run(11*time.Second, true)
+		f.c.Assert(f.reads, qt.Equals, 1)
+	})
+	t.Run("and a substitute does not wait as long", func(t *testing.T) {
+		f := newFollower(qt.New(t), true)
+		f.run(inForceTarget, true)
+		f.c.Assert(f.reads, qt.Equals, 1)
+	})
+	t.Run("and old confirmations do not postpone the read", func(t *testing.T) {
+		f := newFollower(qt.New(t), false)
+		for range 30 {
+			f.now += 100 * time.Millisecond
+			f.hear(platform.TableMessage{Kind: platform.TableAnnounced, Version: 5, LastChange: 5, Age: time.Minute})
+		}
+		f.c.Assert(f.reads, qt.Equals, 1)
+	})
+}
--- a/internal/standin/metadata/link.go
+++ b/internal/standin/metadata/link.go
@@ -53,11 +53,25 @@
 	done <-chan struct{}
 }
 
-// Write writes p once the link has carried it, or the requester has disconnected.
+// Write writes p in packets, each once the link has carried it, until the requester has disconnected.
 func (w linkWriter) Write(p []byte) (int, error) {
-	select {
-	case <-w.done:
-	case <-time.After(w.link.carry(len(p))):
+	for rest := p; len(rest) > 0; {
+		packet := rest[:min(len(rest), packetBytes)]
+		rest = rest[len(packet):]
+		select {
+		case <-w.done:
+			return len(p) - len(rest), http.ErrAbortHandler
+		case <-time.After(w.link.carry(len(packet))):
+		}
+		if _, err := w.ResponseWriter.Write(packet); err != nil {
+			return len(p) - len(rest), err
+		}
+		if err := http.NewResponseController(w.ResponseWriter).Flush(); err != nil {
+			return len(p) - len(rest), err
+		}
 	}
-	return w.ResponseWriter.Write(p)
+	return len(p), nil
 }
+
+// packetBytes is the unit in which responses share a link.
+const packetBytes = 4 << 10
