--- a/internal/fleet/config_test.go
+++ b/internal/fleet/config_test.go
@@ -15,8 +15,7 @@
 const (
 	// configTarget is the time within which an acknowledged configuration must be in force everywhere.
 	configTarget = 3 * time.Second
-	// narrowLink is the bandwidth in bytes per second between the store and the region q. Copies for all nodes of the region take as
-	// long as they did in the incident, 8.5 s.
+	// narrowLink is the bandwidth in bytes per second between the store and the region q.
 	narrowLink = 245_000
 	// maxCopies is one more than the readers and substitutes of a region, which may each read a change once.
 	maxCopies = 5
