Peer, fleet: a change of members costs what has changed

Cause: each change of a member's state at each node had the lists of members, dispatchers, readers and shares worked out anew, also when the list stayed the same, as for a member that is suspected and refutes it. Change: the list is published only when it differs. peer.Dispatchers keeps the choice of each zone and group and takes one hash a group for a member that joins. Limits are sent to lanes when they differ, and a node opens lanes only for groups that it serves.

--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -14,6 +14,7 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/control"
 	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/internal/operator"
@@ -70,12 +71,15 @@
 	sources *listing.SourcesAssigned
 	// lostTables holds the tables of which the last read failed.
 	lostTables map[string]bool
-	// assignments holds the serving nodes of each group.
+	// assignments holds the serving nodes of each group, and dispatchers those among which they are chosen where a few serve for all.
 	assignments map[string]assignment
+	dispatchers *peer.Dispatchers
 	// inboundStreams are the streams on which other nodes forward requests to this one.
 	inboundStreams map[*inboundStream]bool
 	listedServers  map[string]listedServer
-	views          map[string]upstream.GroupView
+	// limits holds the limits of each listed server that were last sent to its lane.
+	limits map[string]caller.LimitsUpdated
+	views  map[string]upstream.GroupView
 }
 
 // assignment holds the nodes that serve a group; local is set if this node is one of them.
@@ -133,8 +137,9 @@
 		clock: tick.NewClock(), start: time.Now(),
 		members:    []peer.Update{{Name: s.Peer, Zone: s.Zone, Address: s.Peer, Weight: s.CPUWeight()}},
 		lostTables: map[string]bool{}, eraBegun: make(chan struct{}, 1),
-		assignments: map[string]assignment{}, inboundStreams: map[*inboundStream]bool{},
-		lanes: map[string]*traffic.Lane{}, listedServers: map[string]listedServer{}, views: map[string]upstream.GroupView{},
+		assignments: map[string]assignment{}, dispatchers: peer.NewDispatchers(), inboundStreams: map[*inboundStream]bool{},
+		lanes: map[string]*traffic.Lane{}, listedServers: map[string]listedServer{}, limits: map[string]caller.LimitsUpdated{},
+		views: map[string]upstream.GroupView{},
 	}
 	for _, o := range opts {
 		if err := o(n); err != nil {
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -58,7 +58,7 @@
 // connections from each, and a few of each zone otherwise. n.mu must be held.
 func (n *Node) servingNodes(g bundle.Group) []string {
 	if len(n.members)*connectionsPerNode > g.ConnectionsPerServer {
-		if names := peer.Dispatchers(g.Name, n.members); len(names) > 0 {
+		if names := n.dispatchers.Nodes(g.Name); len(names) > 0 {
 			return names
 		}
 	}
@@ -95,20 +95,29 @@
 	n.updateShares()
 }
 
-// updateAssignments decides for each group which nodes serve it, and reports changes to the control thread and the relay. It
-// does nothing until the member table was read or memberListTimeout has passed.
+// updateAssignments decides for each group which nodes serve it, and reports changes to the control thread and the relay. It opens
+// the lane of a group that this node begins to serve. It does nothing until the member table was read or memberListTimeout has
+// passed.
 func (n *Node) updateAssignments(b bundle.Bundle) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if !n.membersRead {
 		return
 	}
+	groups := make([]string, 0, len(b.Groups))
+	for _, g := range b.Groups {
+		groups = append(groups, g.Name)
+	}
+	n.dispatchers.Update(n.members, groups)
 	for _, g := range b.Groups {
 		names := n.servingNodes(g)
 		if slices.Equal(names, n.assignments[g.Name].nodes) {
 			continue
 		}
 		local := slices.Contains(names, n.settings.Peer)
+		if local {
+			n.ensureLane(g.Name)
+		}
 		n.assignments[g.Name] = assignment{nodes: names, local: local}
 		n.thread.Post(upstream.GroupServed{Group: g.Name, Served: local, Promoters: names})
 		n.relay.Post(dispatcher.DispatchersAssigned{Group: g.Name, Peers: n.nearestFirst(slices.DeleteFunc(slices.Clone(names),
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -26,27 +26,28 @@
 // adoptBundle makes a configuration active. It applies to new statements; open transactions finish under the configuration with
 // which they began.
 func (n *Node) adoptBundle(b bundle.Bundle, _ []byte) {
-	for _, g := range b.Groups {
-		n.mu.Lock()
-		_, ok := n.lanes[g.Name]
-		n.mu.Unlock()
-		if ok {
-			continue
-		}
-		l, err := n.openLane(g.Name)
-		if err != nil {
-			n.log.Error("cannot start the lane of a database group", zap.String("group", g.Name), zap.Error(err))
-			continue
-		}
-		n.mu.Lock()
-		n.lanes[g.Name] = l
-		n.mu.Unlock()
-	}
 	n.updateAssignments(b)
 	n.routes.Store(newRouteTable(b))
 	n.updateLimits()
 }
 
+// ensureLane opens the lane of a group, unless it is open already. A lane stays open when other nodes take the group over, for the
+// transactions that are open in it. n.mu must be held.
+func (n *Node) ensureLane(group string) {
+	if _, ok := n.lanes[group]; ok {
+		return
+	}
+	l, err := n.openLane(group)
+	if err != nil {
+		n.log.Error("cannot start the lane of a database group", zap.String("group", group), zap.Error(err))
+		return
+	}
+	n.lanes[group] = l
+	if v, ok := n.views[group]; ok {
+		l.Post(caller.ViewUpdated{View: v})
+	}
+}
+
 // updateMembers records the live members and recomputes the shares of servers.
 func (n *Node) updateMembers(a peer.MembersChanged) {
 	n.mu.Lock()
@@ -79,6 +80,7 @@
 	n.mu.Lock()
 	if c.Removed {
 		delete(n.listedServers, c.Entry.ID)
+		delete(n.limits, c.Entry.ID)
 	} else {
 		n.listedServers[c.Entry.ID] = listedServer{group: c.Entry.Service, zone: c.Entry.Zone, slots: c.Entry.Slots}
 	}
@@ -96,7 +98,7 @@
 	return n.listedServers[server].zone
 }
 
-// updateLimits sends each lane this node's share of each server's slots and connections.
+// updateLimits sends each lane the changes of this node's share of each server's slots and connections.
 func (n *Node) updateLimits() {
 	b := n.routes.Load().bundle
 	n.mu.Lock()
@@ -109,11 +111,15 @@
 		}
 		nodes := n.assignments[s.group].nodes
 		rank := max(0, slices.Index(nodes, n.settings.Peer))
-		l.Post(caller.LimitsUpdated{
+		limits := caller.LimitsUpdated{
 			Server: id,
 			Slots:  max(minSlots, n.visibleShare(nodes, peer.Share(s.slots*queuedPerSlot, max(1, len(nodes)), rank))),
 			Conns:  max(1, n.visibleShare(nodes, peer.Share(g.ConnectionsPerServer, max(1, len(nodes)), rank))-controlConnections),
-		})
+		}
+		if n.limits[id] != limits {
+			n.limits[id] = limits
+			l.Post(limits)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/peer/dispatchers.go
@@ -0,0 +1,149 @@
+package peer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"buckthornport.example/buckthornport/internal/table"
+)
+
+// Dispatchers holds, for each database group, the node of each availability zone that serves the group for the other nodes of the
+// zone: the first one by weighted rendezvous hash. The weight is the square of the processor share, so that a few large nodes take
+// most of the groups even among many small ones. Members without a zone are left out.
+//
+// A member that joins costs one hash per group, and one that leaves costs the hashes of its zone for each group that it served.
+type Dispatchers struct {
+	members map[string]Update
+	groups  *table.Table[string, groupDispatchers]
+	// score returns the weighted rendezvous hash of a member for a group.
+	score func(u Update, group string) float64
+}
+
+// groupDispatchers is the row of one group: its dispatchers, sorted by zone.
+type groupDispatchers struct {
+	nodes []candidate
+}
+
+// candidate is a member with its score for a group.
+type candidate struct {
+	zone  string
+	name  string
+	score float64
+}
+
+// precedes reports whether a candidate comes before another of the same zone.
+func (a candidate) precedes(b candidate) bool {
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name)) < 0
+}
+
+func compareZones(a candidate, zone string) int {
+	return cmp.Compare(a.zone, zone)
+}
+
+// WithCandidate returns the row with the candidate in place of the dispatcher of its zone, if it precedes that one.
+func (g groupDispatchers) WithCandidate(a candidate) groupDispatchers {
+	i, found := slices.BinarySearchFunc(g.nodes, a.zone, compareZones)
+	switch {
+	case !found:
+		g.nodes = slices.Insert(slices.Clone(g.nodes), i, a)
+	case a.precedes(g.nodes[i]):
+		g.nodes = slices.Clone(g.nodes)
+		g.nodes[i] = a
+	}
+	return g
+}
+
+// WithoutZone returns the row without the dispatcher of a zone.
+func (g groupDispatchers) WithoutZone(zone string) groupDispatchers {
+	g.nodes = slices.DeleteFunc(slices.Clone(g.nodes), func(a candidate) bool { return a.zone == zone })
+	return g
+}
+
+// serves reports whether the named member is the dispatcher of a zone.
+func (g groupDispatchers) serves(name, zone string) bool {
+	i, found := slices.BinarySearchFunc(g.nodes, zone, compareZones)
+	return found && g.nodes[i].name == name
+}
+
+// NewDispatchers returns a table without members and groups.
+func NewDispatchers() *Dispatchers {
+	return &Dispatchers{members: map[string]Update{}, groups: table.New[string, groupDispatchers](), score: score}
+}
+
+// Update replaces the members, and adds the groups that are not in the table yet.
+func (d *Dispatchers) Update(members []Update, groups []string) {
+	known := d.groups.Keys()
+	joined, left := d.replaceMembers(members)
+	for _, k := range known {
+		g, _ := d.groups.Get(k)
+		d.groups.Put(k, d.updateGroup(k, g, joined, left))
+	}
+	for _, k := range groups {
+		if _, ok := d.groups.Get(k); !ok {
+			d.groups.Put(k, d.addCandidates(k, groupDispatchers{}, maps.Values(d.members)))
+		}
+	}
+	d.groups.TakeDirty()
+}
+
+// replaceMembers stores the members. It returns those that have joined and those that have left; a member that has moved or changed
+// its weight has done both.
+func (d *Dispatchers) replaceMembers(members []Update) (joined, left []Update) {
+	next := make(map[string]Update, len(members))
+	for _, u := range members {
+		if u.Zone == "" {
+			continue
+		}
+		u = Update{Name: u.Name, Zone: u.Zone, Weight: u.Weight}
+		next[u.Name] = u
+		if d.members[u.Name] != u {
+			joined = append(joined, u)
+		}
+	}
+	for name, u := range d.members {
+		if next[name] != u {
+			left = append(left, u)
+		}
+	}
+	d.members = next
+	return joined, left
+}
+
+// updateGroup returns a group's row after members have joined and left.
+func (d *Dispatchers) updateGroup(group string, g groupDispatchers, joined, left []Update) groupDispatchers {
+	for _, u := range left {
+		if g.serves(u.Name, u.Zone) {
+			g = d.addCandidates(group, g.WithoutZone(u.Zone), d.zoneMembers(u.Zone))
+		}
+	}
+	return d.addCandidates(group, g, slices.Values(joined))
+}
+
+func (d *Dispatchers) addCandidates(group string, g groupDispatchers, members func(yield func(Update) bool)) groupDispatchers {
+	for u := range members {
+		g = g.WithCandidate(candidate{zone: u.Zone, name: u.Name, score: d.score(u, group)})
+	}
+	return g
+}
+
+// zoneMembers iterates over the members of a zone.
+func (d *Dispatchers) zoneMembers(zone string) func(yield func(Update) bool) {
+	return func(yield func(Update) bool) {
+		for _, u := range d.members {
+			if u.Zone == zone && !yield(u) {
+				return
+			}
+		}
+	}
+}
+
+// Nodes returns the names of a group's dispatchers, ordered by their zones.
+func (d *Dispatchers) Nodes(group string) []string {
+	g, _ := d.groups.Get(group)
+	names := make([]string, 0, len(g.nodes))
+	for _, a := range g.nodes {
+		names = append(names, a.name)
+	}
+	return names
+}
--- a/internal/peer/fleet_test.go
+++ b/internal/peer/fleet_test.go
@@ -54,6 +54,9 @@
 	incarnation  uint64
 	routes       map[string]uint64
 	floors       map[string]session.Position
+	// published counts the times that the membership reported changed members.
+	published int
+	changed   func(a peer.MemberChanged)
 }
 
 func newFleet(seed int64, n int) *fleet {
@@ -120,6 +123,12 @@
 		}
 	case peer.OfferBundle:
 		x.accept(uint64(a.Bundle[0]), a.Bundle)
+	case peer.MembersChanged:
+		x.published++
+	case peer.MemberChanged:
+		if x.changed != nil {
+			x.changed(a)
+		}
 	case peer.LearnRoute:
 		x.routes[a.Route.Group] = a.Route.Term
 		x.floors[a.Route.Group] = a.Route.Floor
@@ -224,6 +233,27 @@
 	})
 }
 
+// TestMembersUnchanged guards against work at every node for a member that is only slow to answer: a suspicion and its refutation
+// change the list of members at none of them.
+func TestMembersUnchanged(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(6, 12)
+	f.Run(20 * time.Second)
+	suspected := 0
+	for _, x := range f.nodes {
+		x.published = 0
+		x.changed = func(peer.MemberChanged) { suspected++ }
+	}
+	f.partitioned = func(a, b *node) bool { return a.id == 4 || b.id == 4 }
+	f.Run(f.Now() + 2*time.Second)
+	f.partitioned = func(*node, *node) bool { return false }
+	f.Run(f.Now() + 10*time.Second)
+	c.Check(suspected > 0, qt.IsTrue)
+	for _, x := range f.nodes {
+		c.Check(x.published, qt.Equals, 0, qt.Commentf("%s", x.name))
+	}
+}
+
 // injectFault kills and restarts a node, partitions the fleet or drops messages, and runs the fleet for a while.
 func injectFault(t *rapid.T, f *fleet) {
 	switch rapid.SampledFrom([]string{"kill", "part", "one way", "lossy"}).Draw(t, "fault") {
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -137,6 +137,7 @@
 func (m *Membership) removeMember(k string) {
 	m.members.Delete(k)
 	m.pingOrder = slices.DeleteFunc(m.pingOrder, func(o string) bool { return o == k })
+	m.membersChanged = true
 }
 
 func (m *Membership) publishMembers() {
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -140,7 +140,7 @@
 func (m *Membership) Alive() []Update {
 	us := []Update{m.self}
 	for _, k := range m.members.Keys() {
-		if r, _ := m.members.Get(k); r.State == StateAlive || r.State == StateSuspect {
+		if r, _ := m.members.Get(k); r.State.present() {
 			us = append(us, r.update())
 		}
 	}
@@ -361,9 +361,9 @@
 func (m *Membership) change(before, after Member) {
 	m.members.Put(after.Name, after)
 	m.othersDigest ^= before.update().hash() ^ after.update().hash()
-	m.membersChanged = m.membersChanged || before.Zone != after.Zone || before.Weight != after.Weight
+	m.membersChanged = m.membersChanged || before.Zone != after.Zone || before.Weight != after.Weight ||
+		before.State.present() != after.State.present()
 	if before.State != after.State {
-		m.membersChanged = true
 		m.actions = append(m.actions, MemberChanged{Name: after.Name, State: after.State, Previous: before.State})
 	}
 	switch after.State {
--- a/internal/peer/rows.go
+++ b/internal/peer/rows.go
@@ -26,6 +26,11 @@
 	return [...]string{"alive", "suspect", "leaving", "dead"}[s]
 }
 
+// present reports whether a member in this state takes part in the deployment.
+func (s State) present() bool {
+	return s == StateAlive || s == StateSuspect
+}
+
 // Member is the row of one other node.
 type Member struct {
 	Name        string
