Fleet program: SIGHUP while it starts no longer ends the process

Cause: the handlers of signals were registered after the settings were read and the node was built; a SIGHUP before that ended the process by default. Each poll of the settings file also logged the same broken file or changed setting again every 10 s. Change: signals are taken from the first line on. settings.Follow reloads on each signal, and by polls only another content.

--- a/cmd/buckthornport-fleet/main.go
+++ b/cmd/buckthornport-fleet/main.go
@@ -9,7 +9,6 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/gravitational/trace"
@@ -26,8 +25,6 @@
 	gcPercent = 40
 	// memoryLimitBytes is the runtime's soft memory limit. The garbage collector runs more often as memory use approaches it.
 	memoryLimitBytes = 24 << 20
-	// settingsPollInterval is the time between reads of the settings file, which may change without a SIGHUP.
-	settingsPollInterval = 10 * time.Second
 )
 
 type cli struct {
@@ -47,6 +44,7 @@
 }
 
 func (c cli) run() error {
+	stop, reload := notify(syscall.SIGINT, syscall.SIGTERM), notify(syscall.SIGHUP)
 	source, err := os.ReadFile(c.Settings)
 	if err != nil {
 		return trace.ConvertSystemError(err)
@@ -70,37 +68,29 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	go drainOnSignal(n)
-	go c.reloadOnSignal(n)
+	go drainOnSignal(n, stop)
+	go settings.Follow(n.Context(), c.Settings, source, reload, settings.PollInterval, func(source []byte, err error) {
+		if err == nil {
+			err = n.Reload(c.Settings, source)
+		}
+		n.ReportReloadError(err)
+	})
 	return n.Run()
 }
 
-// drainOnSignal drains the node on the first SIGINT or SIGTERM and stops it immediately on the second.
-func drainOnSignal(n *fleet.Node) {
+// notify returns a channel that receives the given signals from now on. They no longer end the process, also while it starts.
+func notify(signals ...os.Signal) <-chan os.Signal {
 	c := make(chan os.Signal, 2)
-	signal.Notify(c, syscall.SIGINT, syscall.SIGTERM)
-	<-c
-	go n.Drain()
-	<-c
-	n.Stop()
+	signal.Notify(c, signals...)
+	return c
 }
 
-// reloadOnSignal reloads the settings on SIGHUP and at every settingsPollInterval.
-func (c cli) reloadOnSignal(n *fleet.Node) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	poll := time.NewTicker(settingsPollInterval)
-	for {
-		select {
-		case <-hup:
-		case <-poll.C:
-		}
-		source, err := os.ReadFile(c.Settings)
-		if err == nil {
-			err = n.Reload(c.Settings, source)
-		}
-		n.ReportReloadError(err)
-	}
+// drainOnSignal drains the node on the first signal and stops it immediately on the second.
+func drainOnSignal(n *fleet.Node, signals <-chan os.Signal) {
+	<-signals
+	go n.Drain()
+	<-signals
+	n.Stop()
 }
 
 // newLogger returns a logger that writes JSON lines to sink, which must not block.
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -236,6 +236,11 @@
 	n.log.Error("invariant violated", zap.String("invariant", invariant), zap.String("detail", detail))
 }
 
+// Context returns the context that ends with the node.
+func (n *Node) Context() context.Context {
+	return n.ctx
+}
+
 // Stop ends the node without draining it.
 func (n *Node) Stop() {
 	n.stop()
