--- a/cmd/buckthornport/demo.go
+++ b/cmd/buckthornport/demo.go
@@ -46,7 +46,7 @@
 
 // Run starts a database group, a platform and two proxies, and prints commands to try.
 func (c demoCommand) Run(env *environment) error {
-	log, err := newLogger(c.LogLevel)
+	log, _, err := newLogger(c.LogLevel)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -114,7 +114,7 @@
 			return nil, err
 		}
 		s.Peers = []settings.Peer{{Name: demoNodes[1-i], Zone: demoZones[1-i], Address: peer}}
-		n, err := proxy.New(context.Background(), s, demoBundle(gs), proxy.WithLogger(log.With(zap.String("node", name))))
+		n, err := proxy.New(context.Background(), s, demoBundle(gs), proxy.WithLogger(log.With(zap.String("node", name)), zap.NewAtomicLevel()))
 		if err != nil {
 			return nil, err
 		}
--- a/cmd/buckthornport/main.go
+++ b/cmd/buckthornport/main.go
@@ -82,15 +82,16 @@
 	return ctx, forceStop
 }
 
-// newLogger returns a logger that writes JSON lines to standard error.
-func newLogger(level string) (*zap.Logger, error) {
+// newLogger returns a logger that writes JSON lines to standard error, and its level, which can be changed.
+func newLogger(level string) (*zap.Logger, zap.AtomicLevel, error) {
 	cfg := zap.NewProductionConfig()
 	if err := cfg.Level.UnmarshalText([]byte(level)); err != nil {
-		return nil, err
+		return nil, cfg.Level, err
 	}
 	cfg.Sampling = nil
 	cfg.DisableStacktrace = true
 	cfg.EncoderConfig.TimeKey = "time"
 	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	return cfg.Build()
+	log, err := cfg.Build()
+	return log, cfg.Level, err
 }
--- a/cmd/buckthornport/process_test.go
+++ b/cmd/buckthornport/process_test.go
@@ -289,6 +289,13 @@
 		}
 		c.Assert(countTickets(c, cl.openSession(c, 1), "id = 300"), qt.Equals, 1)
 	})
+	t.Run("SIGHUP drops no connection", func(t *testing.T) {
+		c := qt.New(t)
+		conn := cl.openSession(c, 0)
+		c.Assert(cl.proxies[0].Process.Signal(syscall.SIGHUP), qt.IsNil)
+		time.Sleep(100 * time.Millisecond)
+		mustExec(c, conn, "insert into tickets values (400, 'reloaded')")
+	})
 	t.Run("SIGTERM under load interrupts no request", func(t *testing.T) {
 		c := qt.New(t)
 		cl.drainUnderLoad(c, 1)
--- a/cmd/buckthornport/proxy.go
+++ b/cmd/buckthornport/proxy.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
@@ -18,9 +20,15 @@
 	Policy   string `enum:",ours,fifo" default:"" help:"Scheduling policy, in place of the one in the settings: ours or fifo."`
 }
 
-// Run serves callers until a signal, then drains the node. It returns an error if the drain disconnected callers.
+// Run serves callers until a signal, then drains the node. SIGHUP reloads the settings. It returns an error if the drain disconnected callers.
 func (c proxyCommand) Run(env *environment) error {
-	s, err := readProxySettings(c.Settings)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	source, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	s, err := settings.ParseProxy(c.Settings, source)
 	if err != nil {
 		return err
 	}
@@ -31,16 +39,22 @@
 	if err != nil {
 		return err
 	}
-	log, err := newLogger(s.LogLevel)
+	log, level, err := newLogger(s.LogLevel)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	n, err := proxy.New(context.Background(), s, b, proxy.WithLogger(log.With(zap.String("node", s.Node))))
+	n, err := proxy.New(context.Background(), s, b, proxy.WithLogger(log.With(zap.String("node", s.Node)), level))
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	disconnected := make(chan int, 1)
 	go drainOnSignal(env, n, log, disconnected)
+	go settings.Follow(env.ctx, c.Settings, source, reload, settings.PollInterval, func(source []byte, err error) {
+		if err == nil {
+			err = n.Reload(c.Settings, source)
+		}
+		n.ReportReloadError(err)
+	})
 	if err := n.Run(); err != nil {
 		return trace.Wrap(err)
 	}
@@ -63,15 +77,6 @@
 	disconnected <- k
 }
 
-// readProxySettings reads and checks the settings file of a proxy.
-func readProxySettings(file string) (settings.Proxy, error) {
-	source, err := os.ReadFile(file)
-	if err != nil {
-		return settings.Proxy{}, trace.ConvertSystemError(err)
-	}
-	return settings.ParseProxy(file, source)
-}
-
 // readBundle reads and checks an unsigned bundle file.
 func readBundle(file string) (bundle.Bundle, error) {
 	source, err := os.ReadFile(file)
--- a/cmd/buckthornport/standin.go
+++ b/cmd/buckthornport/standin.go
@@ -94,7 +94,7 @@
 
 // logReadyAndRun logs that the stand-in is ready and runs the group.
 func logReadyAndRun(rg *run.Group, what, address string) error {
-	log, err := newLogger("info")
+	log, _, err := newLogger("info")
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -40,6 +40,7 @@
 type Node struct {
 	settings      settings.Proxy
 	log           *zap.Logger
+	level         zap.AtomicLevel
 	limiter       *operator.Limiter
 	clock         tick.Clock
 	start         time.Time
@@ -70,10 +71,11 @@
 // Option configures a Node.
 type Option func(*Node) error
 
-// WithLogger sets the logger. The default logger discards everything.
-func WithLogger(l *zap.Logger) Option {
+// WithLogger sets the logger and the level that Reload changes. The default logger discards everything.
+func WithLogger(l *zap.Logger, level zap.AtomicLevel) Option {
 	return func(n *Node) error {
 		n.log = l
+		n.level = level
 		return nil
 	}
 }
@@ -81,7 +83,7 @@
 // New returns a node that starts to serve when Run is called. It uses the bundle b until it receives a newer one.
 func New(ctx context.Context, s settings.Proxy, b bundle.Bundle, opts ...Option) (*Node, error) {
 	n := &Node{
-		settings: s, log: zap.NewNop(), limiter: operator.NewLimiter(), failovers: operator.NewFailoverMetrics(),
+		settings: s, log: zap.NewNop(), level: zap.NewAtomicLevel(), limiter: operator.NewLimiter(), failovers: operator.NewFailoverMetrics(),
 		clock: tick.NewClock(), start: time.Now(), members: []string{s.Node},
 		lanes: map[string]*traffic.Lane{}, ready: make(chan struct{}),
 	}
--- /dev/null
+++ b/internal/proxy/reload.go
@@ -0,0 +1,33 @@
+package proxy
+
+import (
+	"reflect"
+
+	"go.uber.org/zap"
+
+	"buckthornport.example/buckthornport/internal/settings"
+)
+
+// Reload applies the log level, the one setting that may change while the node runs. It logs a warning if other settings differ,
+// because they take effect only after a restart. If the source is invalid it changes nothing and returns the errors that it found.
+func (n *Node) Reload(file string, source []byte) error {
+	s, err := settings.ParseProxy(file, source)
+	if err != nil {
+		return err
+	}
+	if err := n.level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		return err
+	}
+	s.LogLevel, s.Policy = n.settings.LogLevel, n.settings.Policy
+	if !reflect.DeepEqual(s, n.settings) {
+		n.log.Warn("changed settings take effect only after a restart", zap.String("file", file))
+	}
+	return nil
+}
+
+// ReportReloadError logs why the settings could not be read again; it does nothing if err is nil.
+func (n *Node) ReportReloadError(err error) {
+	if err != nil {
+		n.log.Error("cannot reload the settings; the node keeps its current ones", zap.Error(err))
+	}
+}
