Traffic: a panic while one connection is handled costs that connection

Cause: no goroutine recovered from a panic; a fault that one message of a caller, server or node triggers ended the process with all its sessions. Change: connections of callers, of other nodes and to servers are handled within traffic.Contain: a panic closes the connection, is logged with its stack and counted (status field panics). The loops of control, lanes and relay are not contained: their rows may be half changed, and a restart is safer.

--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -27,7 +27,7 @@
 func (n *Node) initLink() error {
 	var err error
 	n.link, err = peerlink.New(func(m peer.Message) { n.thread.Post(peer.MessageReceived{Message: m}) },
-		peerlink.WithJobHandlers(n.acceptJobStream),
+		peerlink.WithJobHandlers(n.acceptJobStream), peerlink.WithPanicHandler(n.logPanic),
 		peerlink.WithTableHandler(func(from string, t listing.TableMessage) {
 			n.thread.Post(listing.MessageReceived{From: from, Message: t})
 		}),
@@ -247,7 +247,7 @@
 		return nil, err
 	}
 	l := traffic.NewLane(n.ctx, group, n.clock, d)
-	l.WriteAuditRecord = n.writeAuditRecord
+	l.WriteAuditRecord, l.Panicked = n.writeAuditRecord, n.logPanic
 	l.Callers = n.listener.Callers()
 	l.ConfirmLeadership = n.controlClient.LeadershipConfirmer(group)
 	l.ResponseReceived = func(a caller.ResponseReceived) {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -55,6 +55,8 @@
 	ctx             context.Context
 	stop            context.CancelFunc
 
+	// panics counts the panics that cost a connection each.
+	panics                 atomic.Int64
 	serverBytes, peerBytes metrics.ByteCounter
 	failovers              *operator.FailoverMetrics
 
@@ -157,6 +159,7 @@
 	}
 	n.orders = platform.NewOrderClient(s.Orders, s.Node, n.leaseValid)
 	n.listener = platform.NewListener(n.routeFor)
+	n.listener.Panicked = n.logPanic
 	n.listener.RoutesKnown = func() bool { return n.routes.Load().bundle.Version != 0 }
 	for _, f := range []func() error{n.initLink, n.initThread, n.initRelay} {
 		if err := f(); err != nil {
@@ -236,6 +239,12 @@
 	n.log.Error("invariant violated", zap.String("invariant", invariant), zap.String("detail", detail))
 }
 
+// logPanic counts and logs a panic that cost a connection.
+func (n *Node) logPanic(err error) {
+	n.panics.Add(1)
+	n.log.Error("a connection was closed after a panic", zap.Error(err))
+}
+
 // Context returns the context that ends with the node.
 func (n *Node) Context() context.Context {
 	return n.ctx
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -40,7 +40,7 @@
 		return n.link.DialDispatcher(ctx, n.settings.Peer, address, n.memberZone(address), in)
 	}
 	n.relay.DialFailed = func(address string, err error) { n.auditDependency("dispatcher/"+address, "connection_refused", err) }
-	n.relay.WriteAuditRecord = n.writeAuditRecord
+	n.relay.WriteAuditRecord, n.relay.Panicked = n.writeAuditRecord, n.logPanic
 	return nil
 }
 
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -33,6 +33,7 @@
 	StoreEra             uint64             `json:"store_era"`
 	LogRecordsSuppressed uint64             `json:"log_records_left_out"`
 	LogLinesDropped      uint64             `json:"log_lines_dropped"`
+	Panics               int64              `json:"panics"`
 	Lanes                []traffic.Snapshot `json:"lanes"`
 	// Relay counts the requests for groups that other nodes serve, RelayLinks the open links to these nodes.
 	Relay      dispatcher.Stats `json:"relay"`
@@ -46,7 +47,7 @@
 		UptimeMS: n.clock().Milliseconds(), Sessions: n.listener.SessionCount(), ConnectionsAccepted: n.listener.Stats().Accepted.Load(),
 		ConnectionsRejected: n.listener.Stats().Rejected.Load(), LogRecordsSuppressed: n.limiter.TotalSuppressed(),
 		LogLinesDropped: n.droppedLogLines(), StoreBytesReceived: n.store.BytesReceived(),
-		StoreEra: n.store.Era(),
+		StoreEra: n.store.Era(), Panics: n.panics.Load(),
 	}
 	s.PeerBytesSent, s.PeerMessagesDropped = n.link.Counts()
 	s.StoreCalls, s.StoreCallsFailed = n.store.Counts()
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -37,6 +38,7 @@
 	tls             func() *tls.Config
 	countBytes      func(zone string, bytes int)
 	handleJobs      func(a ReplySender) JobHandlers
+	panicked        func(err error)
 	mu              sync.Mutex
 	conns           map[string]*peerConn
 	inbound         map[net.Conn]bool
@@ -65,12 +67,20 @@
 	}
 }
 
+// WithPanicHandler passes a panic that cost the connection of another node to f.
+func WithPanicHandler(f func(err error)) Option {
+	return func(l *Link) error {
+		l.panicked = f
+		return nil
+	}
+}
+
 // New returns a link that passes incoming messages to receive. The error is that of an option.
 func New(receive func(m peer.Message), opts ...Option) (*Link, error) {
 	l := &Link{
 		receive: receive, receiveTable: func(string, platform.TableMessage) {},
 		conns: map[string]*peerConn{}, inbound: map[net.Conn]bool{},
-		tls: func() *tls.Config { return nil }, countBytes: func(string, int) {},
+		tls: func() *tls.Config { return nil }, countBytes: func(string, int) {}, panicked: func(error) {},
 	}
 	for _, o := range opts {
 		if err := o(l); err != nil {
@@ -87,7 +97,12 @@
 
 // Serve accepts connections from peers until the listener is closed.
 func (l *Link) Serve(listener net.Listener) error {
-	return traffic.AcceptLoop(listener, l.accept, func(error) {})
+	return traffic.AcceptLoop(listener, l.accept, func(err error) {
+		var p *traffic.PanicError
+		if errors.As(err, &p) {
+			l.panicked(err)
+		}
+	})
 }
 
 func (l *Link) accept(conn net.Conn) {
@@ -115,7 +130,11 @@
 		if err != nil {
 			return
 		}
-		go l.readMessages(stream)
+		go func() {
+			if err := traffic.Contain(func() { l.readMessages(stream) }); err != nil {
+				l.panicked(err)
+			}
+		}()
 	}
 }
 
--- a/internal/pgwire/listener.go
+++ b/internal/pgwire/listener.go
@@ -45,6 +45,8 @@
 	Authorize func(user, database string) (Credentials, error)
 	// Classify returns the class of a statement and the version of the bundle that defines it.
 	Classify func(database, verb string, tables []string) (bundle.Class, uint64)
+	// Panicked reports a panic that cost the connection of a caller.
+	Panicked func(err error)
 
 	signer      *session.Signer
 	tls         func() *tls.Config
@@ -83,7 +85,7 @@
 func NewListener(signer *session.Signer, keyPrefix string, opts ...ListenerOption) (*Listener, error) {
 	l := &Listener{
 		signer: signer, statements: NewStatementCache(), keyPrefix: keyPrefix, callers: map[uint32]*CallerConn{},
-		tls: func() *tls.Config { return nil },
+		tls: func() *tls.Config { return nil }, Panicked: func(error) {},
 	}
 	for _, o := range opts {
 		if err := o(l); err != nil {
@@ -100,7 +102,7 @@
 
 // Serve accepts connections until listener is closed, and then returns nil.
 func (l *Listener) Serve(listener net.Listener) error {
-	return traffic.AcceptLoop(listener, l.accept, func(error) { l.stats.AcceptErrors.Add(1) })
+	return traffic.AcceptLoop(listener, l.accept, l.countError)
 }
 
 // Drain makes the listener refuse new sessions. Open sessions are not affected.
@@ -108,6 +110,16 @@
 	l.draining.Store(true)
 }
 
+// countError counts an error of accept, or reports a panic that cost the connection of a caller.
+func (l *Listener) countError(err error) {
+	var p *traffic.PanicError
+	if errors.As(err, &p) {
+		l.Panicked(err)
+		return
+	}
+	l.stats.AcceptErrors.Add(1)
+}
+
 func (l *Listener) accept(conn net.Conn) {
 	l.stats.Accepted.Add(1)
 	_ = conn.SetDeadline(time.Now().Add(startupTimeout))
--- a/internal/proxy/assemble.go
+++ b/internal/proxy/assemble.go
@@ -26,7 +26,7 @@
 func (n *Node) initLink() error {
 	var err error
 	n.link, err = peerlink.New(func(m peer.Message) { n.thread.Post(peer.MessageReceived{Message: m}) },
-		peerlink.WithTLS(n.peerTLS),
+		peerlink.WithTLS(n.peerTLS), peerlink.WithPanicHandler(n.logPanic),
 		peerlink.WithByteCounter(func(zone string, bytes int) { n.peerBytes.AddSent(n.distance(zone), bytes) }))
 	return err
 }
@@ -128,7 +128,7 @@
 		return nil, err
 	}
 	l := traffic.NewLane(n.ctx, g.Name, n.clock, d)
-	l.WriteAuditRecord = n.writeLaneRecord
+	l.WriteAuditRecord, l.Panicked = n.writeLaneRecord, n.logPanic
 	l.ConfirmLeadership = n.newControlClient().ConfirmLeadership
 	l.RequestSlots = n.newControlClient().RequestSlots
 	l.Callers = n.listener.Callers(g.Name)
@@ -176,6 +176,7 @@
 	if n.listener, err = pgwire.NewListener(n.signer, n.settings.Node+"-"+hex.EncodeToString(prefix[:]), n.withTLS()); err != nil {
 		return err
 	}
+	n.listener.Panicked = n.logPanic
 	n.listener.Lane = func(database string) (func(caller.Event), bool) {
 		l, ok := n.laneFor(database)
 		if !ok {
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -222,6 +222,11 @@
 	n.log.Error("invariant violated", zap.String("invariant", invariant), zap.String("detail", detail))
 }
 
+// logPanic logs a panic that cost a connection.
+func (n *Node) logPanic(err error) {
+	n.log.Error("a connection was closed after a panic", zap.Error(err))
+}
+
 // Stop ends the node without draining it.
 func (n *Node) Stop() {
 	n.stop()
--- a/internal/traffic/conns.go
+++ b/internal/traffic/conns.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -56,7 +58,8 @@
 const acceptBackoff = 20 * time.Millisecond
 
 // AcceptLoop runs handle in a new goroutine for each accepted connection until the listener is closed. It passes other errors, such
-// as too many open files, to onError and continues: they clear up once callers disconnect and must not end the node.
+// as too many open files, to onError and continues: they clear up once callers disconnect and must not end the node. A panic of
+// handle closes its connection and reaches onError as a *PanicError.
 func AcceptLoop(l net.Listener, handle func(conn net.Conn), onError func(err error)) error {
 	for {
 		conn, err := l.Accept()
@@ -67,11 +70,42 @@
 			onError(err)
 			time.Sleep(acceptBackoff)
 		default:
-			go handle(conn)
+			go serveConn(conn, handle, onError)
 		}
 	}
 }
 
+func serveConn(conn net.Conn, handle func(conn net.Conn), onError func(err error)) {
+	if err := Contain(func() { handle(conn) }); err != nil {
+		_ = conn.Close()
+		onError(err)
+	}
+}
+
+// PanicError reports a panic that ended the handling of one connection.
+type PanicError struct {
+	Value any
+	// Stack is the stack of the goroutine that panicked.
+	Stack []byte
+}
+
+// Error returns the value of the panic and the stack.
+func (e *PanicError) Error() string {
+	return fmt.Sprintf("panic: %v\n%s", e.Value, e.Stack)
+}
+
+// Contain runs f and returns a *PanicError if it panics. It is for code that handles what one connection sends, so that a message
+// that triggers a fault costs that connection only.
+func Contain(f func()) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = &PanicError{Value: v, Stack: debug.Stack()}
+		}
+	}()
+	f()
+	return nil
+}
+
 // IdleConnUsable reports whether an idle connection is still open and has nothing to read. Bytes that arrive on an idle
 // connection were not requested, so such a connection must not be used again.
 func IdleConnUsable(conn net.Conn) bool {
--- a/internal/traffic/lane.go
+++ b/internal/traffic/lane.go
@@ -32,6 +32,8 @@
 	ServerSuspected  func(a caller.ServerSuspected)
 	// WriteAuditRecord writes a record to the audit trail.
 	WriteAuditRecord func(r operator.Record)
+	// Panicked reports a panic that cost an upstream connection.
+	Panicked func(err error)
 
 	database  string
 	decisions *caller.Lane
@@ -98,7 +100,7 @@
 func NewLane(ctx context.Context, database string, clock tick.Clock, d *caller.Lane) *Lane {
 	l := &Lane{
 		database: database, decisions: d, ctx: ctx,
-		ResponseReceived: func(caller.ResponseReceived) {}, ServerSuspected: func(caller.ServerSuspected) {},
+		ResponseReceived: func(caller.ResponseReceived) {}, ServerSuspected: func(caller.ServerSuspected) {}, Panicked: func(error) {},
 		upstreams: map[caller.ConnID]UpstreamConn{}, dialing: map[caller.ConnID]context.CancelFunc{}, snapshotAt: -snapshotInterval,
 	}
 	l.loop = tick.NewLoop(clock, l.step, l.perform)
@@ -224,7 +226,10 @@
 		u.Close()
 	default:
 		l.Post(caller.ConnOpened{Conn: a.Conn})
-		u.Serve()
+		if err := Contain(u.Serve); err != nil {
+			l.Panicked(err)
+			u.Close()
+		}
 		l.removeUpstream(a.Conn)
 		l.Post(caller.ConnLost{Conn: a.Conn})
 	}
--- a/internal/traffic/relay.go
+++ b/internal/traffic/relay.go
@@ -28,6 +28,8 @@
 	DialFailed func(peer string, err error)
 	// WriteAuditRecord writes a record to the audit trail.
 	WriteAuditRecord func(r operator.Record)
+	// Panicked reports a panic that cost a link.
+	Panicked func(err error)
 
 	decisions *dispatcher.Relay
 	loop      *tick.Loop[dispatcher.Event, dispatcher.Action]
@@ -57,7 +59,7 @@
 
 // NewRelay returns a relay that performs the actions of the given decisions.
 func NewRelay(ctx context.Context, clock tick.Clock, d *dispatcher.Relay) *Relay {
-	r := &Relay{ctx: ctx, decisions: d, links: map[string]*Link{}}
+	r := &Relay{ctx: ctx, decisions: d, links: map[string]*Link{}, Panicked: func(error) {}}
 	r.loop = tick.NewLoop(clock, r.step, r.perform)
 	return r
 }
@@ -173,7 +175,10 @@
 	r.links[peer] = &l
 	r.mu.Unlock()
 	r.Post(dispatcher.LinkUp{Peer: peer})
-	l.Serve()
+	if err := Contain(l.Serve); err != nil {
+		r.Panicked(err)
+		l.Close()
+	}
 	r.mu.Lock()
 	if r.links[peer] == &l {
 		delete(r.links, peer)
