Fleet: a new node registers before it reads who else does

Cause: a node read the member table and then registered. Change: a node writes its row if there is none and then reads the table 1 s after its start; a node that returns finds its row and reads at once. The number of calls stays the same. A node new to a running fleet is ready 1 s later.

--- a/internal/fleet/dispatcher_test.go
+++ b/internal/fleet/dispatcher_test.go
@@ -77,6 +77,21 @@
 	})
 }
 
+// TestFleetStartsAtOnce guards against nodes of a large fleet that take the first few registered ones for all of it, serve every group
+// with them, and watch and connect to every server.
+func TestFleetStartsAtOnce(t *testing.T) {
+	const nodes, zones = 40, 3
+	c := qt.New(t)
+	d := startScarceDeployment(c, nodes)
+	served := 0
+	for _, n := range d.nodes {
+		served += len(n.Status().Lanes)
+	}
+	// A node may serve the group until it knows one of its zone that ranks before it.
+	c.Assert(served <= 2*zones, qt.IsTrue, qt.Commentf("%d nodes have served the group", served))
+	assertNoViolations(c, d)
+}
+
 // dispatcherAndPeer returns a node that serves the group for its zone, and another node of the same zone that does not.
 func (d *deployment) dispatcherAndPeer(c *qt.C) (dispatcher, other *Node) {
 	c.Helper()
--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -39,6 +40,9 @@
 	// sooner; the table only reconnects parts of the fleet that have lost contact with each other.
 	minMembersInterval     = time.Minute
 	membersIntervalPerNode = 750 * time.Millisecond
+	// fleetStartDelay is how long after its start a node that registers for the first time reads the member table. It is well above the
+	// time between the starts of the nodes of a fleet that starts at once.
+	fleetStartDelay = time.Second
 	// newEraDelay is the longest delay until a node registers again in a new era of the store.
 	newEraDelay = 2 * time.Second
 	// tableMembers holds one row per node that ever started, keyed by the node's peer address.
@@ -76,7 +80,7 @@
 	readers, substitutes := peer.StoreReaders(near)
 	a := listing.SourcesAssigned{
 		Reader: slices.Contains(readers, n.settings.Peer), Substitute: slices.Contains(substitutes, n.settings.Peer),
-		Successors: peer.Successors(n.settings.Peer, near),
+		Successors: peer.Successors(n.settings.Peer, near), Nodes: len(near),
 	}
 	if s := n.sources; s != nil && s.Reader == a.Reader && s.Substitute == a.Substitute && slices.Equal(s.Successors, a.Successors) {
 		return
@@ -186,12 +190,12 @@
 	return e, true
 }
 
-// followMembers reads the member table at intervals and in each era of the store, until the node's context ends. This node
-// registers after its first read, so that it knows the fleet before it decides which groups it serves, and again in each era,
-// since the store may have lost its row.
+// followMembers reads the member table at intervals and in each era of the store, until the node's context ends. It registers this
+// node first, and again in each era, since the store may have lost its row.
 func (n *Node) followMembers() error {
+	registeredIn := n.registerNewMember()
 	delay := minRetryDelay
-	for registeredIn := uint64(0); n.ctx.Err() == nil; {
+	for n.ctx.Err() == nil {
 		rs, err := n.readMembers()
 		n.auditRead(tableMembers, err)
 		if err != nil {
@@ -209,6 +213,30 @@
 	return n.ctx.Err()
 }
 
+// registerNewMember writes this node's row if the member table has none, and then waits until fleetStartDelay after its start: many
+// nodes may be starting for the first time, and one that took those few that have registered for the whole fleet would serve every
+// group. It returns the era in which the node is registered, zero if it can't tell.
+func (n *Node) registerNewMember() uint64 {
+	raw, err := n.encodeMember()
+	if err != nil {
+		return 0
+	}
+	readAt := n.clock() + fleetStartDelay
+	ctx, stop := context.WithTimeout(n.ctx, storeCallTimeout)
+	defer stop()
+	r, written, err := n.store.CompareAndSet(ctx, tableMembers, n.settings.Peer, raw, 0)
+	switch {
+	case err != nil:
+		n.auditDependency("store/"+tableMembers, "not_registered", err)
+		return 0
+	case written:
+		n.sleep(readAt - n.clock())
+	case !bytes.Equal(r.Value, raw):
+		return 0
+	}
+	return max(1, r.Era)
+}
+
 // awaitMembersRead waits until the member table must be read again: for the given time, or for a short one if the store begins a
 // new era. That time is random, so that a large fleet does not write to the store all at once.
 func (n *Node) awaitMembersRead(d time.Duration) {
@@ -271,10 +299,14 @@
 	return peer.Update{Name: key, Zone: m.Zone, Address: key, Weight: m.Weight}, nil
 }
 
+func (n *Node) encodeMember() ([]byte, error) {
+	return json.Marshal(memberRow{Zone: n.settings.Zone, Weight: n.settings.CPUWeight()})
+}
+
 // registerMember writes this node's row into the member table. It retries, because the store may be unavailable when the node
 // starts.
 func (n *Node) registerMember() {
-	raw, err := json.Marshal(memberRow{Zone: n.settings.Zone, Weight: n.settings.CPUWeight()})
+	raw, err := n.encodeMember()
 	for delay := minRetryDelay; err == nil && n.ctx.Err() == nil; delay = min(2*delay, maxRetryDelay) {
 		ctx, stop := context.WithTimeout(n.ctx, storeCallTimeout)
 		writeErr := n.store.Write(ctx, tableMembers, n.settings.Peer, raw)
