Platform: a node of a small region reads the store sooner at its start

Cause: a node without a copy waited 0.5 to 1 s for other nodes; after a loss of power of all, readers may start up to 0.3 s later than others, which refuse their callers meanwhile. Change: the wait is 20 ms a node of the region, 0.5 s at most, and substitutes read at once like readers when they start. TestMirrorWhileAChangeArrives has its node be one of 100 and answers the new first read, so that it counts the same reads as before.

--- a/internal/platform/mirror.go
+++ b/internal/platform/mirror.go
@@ -12,8 +12,10 @@
 	// requestTimeout is how long a request to another node may stay unanswered before it is sent to a node that announces the same
 	// change again.
 	requestTimeout = 700 * time.Millisecond
-	// firstReadDelay is how long a node without a copy waits for other nodes before it reads the store.
-	firstReadDelay = 500 * time.Millisecond
+	// firstReadDelayPerNode and maxFirstReadDelay bound how long a node without a copy waits for other nodes before it reads the store.
+	// In a small region a few more calls cost less than the wait.
+	firstReadDelayPerNode = 20 * time.Millisecond
+	maxFirstReadDelay     = 500 * time.Millisecond
 	// announceInterval is the minimum progress of a confirmation that is passed on.
 	announceInterval = 500 * time.Millisecond
 	// minReadInterval is the minimum time between two reads of the store.
@@ -133,18 +135,20 @@
 }
 
 // assignSources applies a change of the readers and successors. A node that starts asks some of its successors for their copies,
-// also if it reads the store itself: they may hold what the store has lost.
+// also if it reads the store itself: they may hold what the store has lost. At its start a substitute reads the store at once: the
+// readers may have started later.
 func (m *Mirror) assignSources(now time.Duration, e SourcesAssigned) {
 	first := !m.assigned
 	becameReader := e.Reader && !m.sources.Reader
+	delay := min(time.Duration(e.Nodes)*firstReadDelayPerNode, maxFirstReadDelay)
 	m.sources, m.assigned = e, true
 	for _, k := range m.copies.Keys() {
 		c, _ := m.copies.Get(k)
 		switch {
-		case becameReader:
+		case becameReader, first && e.Substitute:
 			m.schedule(c.WithReadAt(now))
 		case first:
-			m.schedule(c.WithReadAt(now + firstReadDelay + m.jitter(firstReadDelay)))
+			m.schedule(c.WithReadAt(now + delay + m.jitter(delay)))
 		}
 		if !first {
 			continue
--- a/internal/platform/mirror_rows.go
+++ b/internal/platform/mirror_rows.go
@@ -203,11 +203,12 @@
 type MirrorEvent interface{ mirrorEvent() }
 
 // SourcesAssigned reports whether this node reads the store for others, or is among the first to do so when the readers are lost,
-// and the nodes to which it passes changes on.
+// and the nodes to which it passes changes on. Nodes is the number of nodes of the region.
 type SourcesAssigned struct {
 	Reader     bool
 	Substitute bool
 	Successors []string
+	Nodes      int
 }
 
 // RowsRead is the store's answer to a read that was sent at SentAt: the whole table if All is set, and its changes otherwise.
--- a/internal/platform/mirror_test.go
+++ b/internal/platform/mirror_test.go
@@ -114,7 +114,7 @@
 		if x.alive {
 			x.step(platform.SourcesAssigned{
 				Reader: slices.Contains(readers[x.region], x.name), Substitute: slices.Contains(substitutes[x.region], x.name),
-				Successors: peer.Successors(x.name, members[x.region]),
+				Successors: peer.Successors(x.name, members[x.region]), Nodes: len(members[x.region]),
 			})
 		}
 	}
@@ -274,6 +274,40 @@
 	c.Check(float64(most)/seconds <= controlBytesTarget, qt.IsTrue)
 }
 
+// TestMirrorStart guards against nodes of a small region that are back from a loss of power and wait for a reader that is not: they
+// refuse their callers meanwhile.
+func TestMirrorStart(t *testing.T) {
+	const target = 440 * time.Millisecond
+	for _, perRegion := range []int{2, 3, 4, 7} {
+		t.Run(fmt.Sprintf("%d nodes of a region", perRegion), func(t *testing.T) {
+			c := qt.New(t)
+			f := newMirrorFleet(1, 1, perRegion)
+			f.put("config", routeValue(20, 1))
+			f.Run(time.Second)
+			for _, x := range f.nodes {
+				x.start()
+			}
+			f.assignSources()
+			f.stopReaders()
+			f.Run(f.Now() + target)
+			f.assertCopies(c)
+		})
+	}
+	t.Run("a large region reads the store few times", func(t *testing.T) {
+		c := qt.New(t)
+		const perRegion = 300
+		f := newMirrorFleet(1, 1, perRegion)
+		f.put("config", routeValue(20, 1))
+		f.Run(time.Second)
+		reads := 0
+		for _, x := range f.nodes {
+			reads += x.reads
+		}
+		f.assertCopies(c)
+		c.Assert(reads <= perRegion/10, qt.IsTrue, qt.Commentf("%d reads", reads))
+	})
+}
+
 // TestMirrorFailures guards against nodes that miss a change when the nodes that they hear from are lost.
 func TestMirrorFailures(t *testing.T) {
 	for _, k := range []struct {
@@ -439,7 +473,11 @@
 	m, err := platform.NewMirror(platform.WithTable(platform.TableRules{Name: "t", ConfirmTimeout: 1500 * time.Millisecond}))
 	c.Assert(err, qt.IsNil)
 	f := &follower{c: c, m: m, now: time.Second}
-	f.step(platform.SourcesAssigned{Substitute: substitute, Successors: []string{"n1"}})
+	f.step(platform.SourcesAssigned{Substitute: substitute, Successors: []string{"n1"}, Nodes: 100})
+	if f.reads > 0 {
+		f.step(platform.RowsRead{Table: "t", All: true, Version: 5, SentAt: f.now})
+		f.reads = 0
+	}
 	f.hear(platform.TableMessage{Kind: platform.TableSent, All: true, Version: 5, LastChange: 5})
 	return f
 }
