Peer: members that the platform lists are not gossiped about

Digests held incarnations, so that nodes differed until all had met, and answered each other with samples of 24 members. Change: members read from the list and the first incarnation of a listed member are not broadcast; the digest is over names. The list also completes the zones of seeds, which served no group before gossip told them.

--- a/internal/peer/fleet_test.go
+++ b/internal/peer/fleet_test.go
@@ -254,6 +254,47 @@
 	}
 }
 
+// bytesAfterListing returns the bytes a second that a node of a fleet sends after all nodes have read the platform's list.
+func bytesAfterListing(c *qt.C, nodes int) float64 {
+	f := newFleet(7, nodes)
+	var listed []peer.Update
+	for _, x := range f.nodes {
+		listed = append(listed, peer.Update{Name: x.name, Zone: "z", Address: x.name})
+	}
+	f.Run(time.Second)
+	for _, x := range f.nodes {
+		x.step(peer.VMsListed{Updates: listed})
+	}
+	f.Run(5 * time.Second)
+	const window = 10 * time.Second
+	f.bytes = 0
+	f.Run(f.Now() + window)
+	for _, x := range f.nodes {
+		c.Assert(len(x.members.Alive()), qt.Equals, nodes, qt.Commentf("%s", x.name))
+	}
+	return float64(f.bytes) / window.Seconds() / float64(nodes)
+}
+
+// TestGossipAfterStart guards against a fleet that starts at once and gossips for minutes about members that every node has read from
+// the platform's list: what a node sends must not depend on the size of the fleet.
+func TestGossipAfterStart(t *testing.T) {
+	c := qt.New(t)
+	small, large := bytesAfterListing(c, 40), bytesAfterListing(c, 300)
+	c.Logf("%.0f bytes a second with 300 nodes, %.0f with 40", large, small)
+	c.Assert(large <= 1.25*small, qt.IsTrue, qt.Commentf("%.0f bytes a second with 300 nodes, %.0f with 40", large, small))
+}
+
+// TestListCompletesSeeds guards against seeds that serve no group until gossip tells their zones.
+func TestListCompletesSeeds(t *testing.T) {
+	c := qt.New(t)
+	m, err := peer.NewMembership("n", "a", "n", 1, peer.WithMember("seed", "", "seed"))
+	c.Assert(err, qt.IsNil)
+	as, _ := m.Step(0, []peer.Event{peer.VMsListed{Updates: []peer.Update{{Name: "seed", Zone: "b", Address: "seed", Weight: 7}}}})
+	published, ok := as[len(as)-1].(peer.MembersChanged)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(published.Members[1], qt.Equals, peer.Update{Name: "seed", Zone: "b", Address: "seed", Weight: 7})
+}
+
 // injectFault kills and restarts a node, partitions the fleet or drops messages, and runs the fleet for a while.
 func injectFault(t *rapid.T, f *fleet) {
 	switch rapid.SampledFrom([]string{"kill", "part", "one way", "lossy"}).Draw(t, "fault") {
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -178,14 +178,18 @@
 	}
 }
 
-// applyListedVM applies an entry of the platform's VM list. As the list lags, it only adds unknown members that are alive and
-// marks known members as leaving.
+// applyListedVM applies an entry of the platform's VM list. As the list lags, it only adds unknown members that are alive, completes
+// those from the settings and marks known members as leaving. Other nodes read the same list, so its entries are not broadcast.
 func (m *Membership) applyListedVM(now time.Duration, u Update) {
 	r, known := m.members.Get(u.Name)
 	switch {
 	case u.Name == m.self.Name:
 	case !known && u.State == StateAlive:
-		m.applyUpdate(now, u)
+		m.add(now, u)
+	case known && r.Zone == "" && u.Zone != "":
+		next := r
+		next.Zone, next.Weight = u.Zone, cmp.Or(u.Weight, r.Weight)
+		m.store(r, next)
 	case known && u.State == StateLeaving && r.State < StateLeaving:
 		u.Incarnation = r.Incarnation
 		m.applyUpdate(now, u)
@@ -340,27 +344,42 @@
 		return
 	}
 	r, known := m.members.Get(u.Name)
-	if known && !overrides(u, r) {
-		return
+	switch {
+	case !known:
+		m.queueBroadcast(broadcast{update: m.add(now, u).update()})
+	case overrides(u, r):
+		next := r.WithState(now, u.State, u.Incarnation)
+		next.Zone, next.Address = u.Zone, u.Address
+		next.Weight = cmp.Or(u.Weight, r.Weight)
+		m.change(r, next)
 	}
-	if !known {
-		r = Member{Name: u.Name, StateSince: now}
-		m.othersDigest ^= r.update().hash()
-		m.pingOrder = append(m.pingOrder, u.Name)
-		j := m.random(len(m.pingOrder))
-		m.pingOrder[j], m.pingOrder[len(m.pingOrder)-1] = m.pingOrder[len(m.pingOrder)-1], m.pingOrder[j]
-		m.membersChanged = true
-	}
-	next := r.WithState(now, u.State, u.Incarnation)
-	next.Zone, next.Address = u.Zone, u.Address
-	next.Weight = cmp.Or(u.Weight, r.Weight)
-	m.change(r, next)
 }
 
-// change stores a member's row and broadcasts it.
+// add stores an unknown member, and returns its row.
+func (m *Membership) add(now time.Duration, u Update) Member {
+	m.pingOrder = append(m.pingOrder, u.Name)
+	j := m.random(len(m.pingOrder))
+	m.pingOrder[j], m.pingOrder[len(m.pingOrder)-1] = m.pingOrder[len(m.pingOrder)-1], m.pingOrder[j]
+	r := Member{Name: u.Name, Zone: u.Zone, Address: u.Address, Weight: u.Weight, StateSince: now}
+	r = r.WithState(now, u.State, u.Incarnation)
+	m.store(Member{Name: u.Name}, r)
+	m.othersDigest ^= r.update().hash()
+	m.membersChanged = true
+	return r
+}
+
+// change stores the changed row of a member and broadcasts it, unless every node learns the change from the member itself.
 func (m *Membership) change(before, after Member) {
-	m.members.Put(after.Name, after)
+	m.store(before, after)
 	m.othersDigest ^= before.update().hash() ^ after.update().hash()
+	if !after.completes(before) {
+		m.queueBroadcast(broadcast{update: after.update()})
+	}
+}
+
+// store stores a member's row, reports a change of its state, and schedules the next one.
+func (m *Membership) store(before, after Member) {
+	m.members.Put(after.Name, after)
 	m.membersChanged = m.membersChanged || before.Zone != after.Zone || before.Weight != after.Weight ||
 		before.State.present() != after.State.present()
 	if before.State != after.State {
@@ -372,7 +391,6 @@
 	case StateDead:
 		m.members.SetDue(after.Name, after.StateSince+ForgetAfter)
 	}
-	m.queueBroadcast(broadcast{update: after.update()})
 }
 
 // learnRoute stores and broadcasts a route with a higher term or floor. With fromPeer set, it also reports the route to this node's
--- a/internal/peer/rows.go
+++ b/internal/peer/rows.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/bits"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -77,6 +76,11 @@
 	return m
 }
 
+// completes reports whether the row only adds the incarnation to the row of a member that the platform has listed.
+func (m Member) completes(listed Member) bool {
+	return listed.Name != "" && listed.Incarnation == 0 && listed.State == StateAlive && m.State == StateAlive && m.Zone == listed.Zone
+}
+
 // update returns the row as an Update for gossip.
 func (m Member) update() Update {
 	return Update{
@@ -84,13 +88,13 @@
 	}
 }
 
-// hash returns the hash of a member, zero for a dead one. The XOR of the hashes of all members is the member digest.
+// hash returns the hash of a member, zero for a dead one. The XOR of the hashes of all members is the member digest. It leaves out the
+// incarnation, which a member tells with each message: nodes that have read the same list agree before all have met.
 func (u Update) hash() uint64 {
 	if u.Name == "" || u.State == StateDead {
 		return 0
 	}
-	h := xxhash.Sum64String(u.Name)
-	return h ^ bits.RotateLeft64(u.Incarnation*0x9e3779b97f4a7c15, int(h%63))
+	return xxhash.Sum64String(u.Name)
 }
 
 // overrides reports whether an update about a member is newer than its row.
