Caller: a read with an attempt that may have run is never refused as not run

Cause: the queue timeout of a read that was sent before cleared the mark of its earlier attempts and refused it as 'not run'; so did a server that declined the next attempt, or a next attempt that was not sent. Change: a request keeps whether an attempt before its last one may have run (SentBefore); such a read is refused as interrupted, which promises that nothing is kept, not that nothing ran.

--- a/internal/caller/decline.go
+++ b/internal/caller/decline.go
@@ -60,7 +60,11 @@
 	case s.TxConn == e.Conn:
 		l.refuse(r.WithoutConn(), Refusal{Reason: ReasonRolledBack, Retry: retryHint, Detail: "server is " + e.Reason.String()})
 	case r.Attempts >= MaxAttempts:
-		l.refuse(r.WithDeclined(c.Server), Refusal{Reason: ReasonOverload, Retry: retryHint, Detail: "server is " + e.Reason.String()})
+		r, why := r.WithDeclined(c.Server), Refusal{Reason: ReasonOverload, Retry: retryHint, Detail: "server is " + e.Reason.String()}
+		if r.Sent {
+			why.Reason = ReasonInterrupted
+		}
+		l.refuse(r, why)
 	default:
 		l.requeue(r.WithDeclined(c.Server))
 	}
--- a/internal/caller/resolve.go
+++ b/internal/caller/resolve.go
@@ -120,7 +120,7 @@
 }
 
 // expireQueued refuses a request that reached its queue timeout or deadline in a queue. Without a primary only the deadline
-// counts. At its deadline, a read that was sent before is refused as interrupted, since its earlier attempts may have run.
+// counts. A read that was sent before is refused as interrupted, since its earlier attempts may have run.
 func (l *Lane) expireQueued(r Request) {
 	s, _ := l.sessions.Get(r.Session)
 	if l.now < r.Deadline && l.leader() == "" {
@@ -128,10 +128,10 @@
 		return
 	}
 	switch {
-	case l.now < r.Deadline:
-		l.refuse(r.WithDeclined(r.AvoidServer), Refusal{Reason: ReasonOverload, Retry: retryHint})
 	case r.Sent:
-		l.refuse(r, Refusal{Reason: ReasonInterrupted})
+		l.refuse(r, Refusal{Reason: ReasonInterrupted, Retry: retryHint})
+	case l.now < r.Deadline:
+		l.refuse(r, Refusal{Reason: ReasonOverload, Retry: retryHint})
 	case l.leader() == "" && s.TxConn == 0:
 		l.refuse(r, Refusal{Reason: ReasonNoPrimary, Retry: retryHint})
 	default:
--- a/internal/caller/rows.go
+++ b/internal/caller/rows.go
@@ -210,10 +210,11 @@
 	Position     session.Position
 	Confirmation uint64
 	Attempts     int
-	// Sent is set if an attempt may have run on a server.
-	Sent      bool
-	Cancelled bool
-	Result    Result
+	// Sent is set if an attempt may have run on a server, SentBefore if one before the last may have.
+	Sent       bool
+	SentBefore bool
+	Cancelled  bool
+	Result     Result
 	// Outcome is the command tag stored under the request's key.
 	Outcome string
 	// AvoidServer is the server of the request's last failed attempt.
@@ -272,6 +273,7 @@
 	r.Server = server
 	r.Started = now
 	r.Attempts++
+	r.SentBefore = r.Sent
 	r.Sent = true
 	return r
 }
@@ -284,7 +286,7 @@
 
 // WithUnsent returns the row after an attempt of which no byte was sent.
 func (r Request) WithUnsent() Request {
-	r.Sent = false
+	r.Sent = r.SentBefore
 	r.Conn = 0
 	r.Attempts--
 	return r
@@ -293,7 +295,7 @@
 // WithDeclined returns the row after an attempt that the server did not run.
 func (r Request) WithDeclined(server string) Request {
 	r.AvoidServer = server
-	r.Sent = false
+	r.Sent = r.SentBefore
 	r.Conn = 0
 	return r
 }
