Traffic: a request that its link did not take goes to another dispatcher

Cause: a request whose link to its dispatcher was closed or full was dropped after it counted as handed over; a write or commit was then answered as in doubt, and a read waited for the loss of the link. Change: the relay reports it as declined, so that it goes to the next dispatcher at once. Measured: TestUnsentRequest fails on the code before.

--- a/internal/traffic/relay.go
+++ b/internal/traffic/relay.go
@@ -150,13 +150,18 @@
 }
 
 // forward sends a request to its dispatcher. It does nothing if the caller has just disconnected, since the decisions then get a
-// caller.SessionClosed event.
+// caller.SessionClosed event. A request that the link did not take has not run: it may go elsewhere, also if it writes.
 func (r *Relay) forward(a dispatcher.Forward) {
 	p, ok := r.RequestPayload(a.Session, a.Seq)
 	if !ok {
 		return
 	}
-	if l, open := r.link(a.Peer); open && !l.Forward(dispatcher.Job{Forward: a, Payload: p}) {
+	l, open := r.link(a.Peer)
+	if open && l.Forward(dispatcher.Job{Forward: a, Payload: p}) {
+		return
+	}
+	r.Post(dispatcher.Declined{Peer: a.Peer, Session: a.Session, Seq: a.Seq})
+	if open {
 		l.Close()
 	}
 }
