--- a/internal/peer/fleet_test.go
+++ b/internal/peer/fleet_test.go
@@ -403,3 +403,23 @@
 	b.ReportMetric(float64(n-len(ds)), "missing")
 	b.ReportMetric(0, "ns/op")
 }
+
+// TestRestartAfterClockStep guards against a node that restarts after its time of day has jumped back: its incarnation is then lower
+// than that of its earlier start, which the others know as dead or alive.
+func TestRestartAfterClockStep(t *testing.T) {
+	for _, down := range []time.Duration{500 * ms, 30 * time.Second} {
+		t.Run(fmt.Sprintf("down for %v", down), func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(8, 12)
+			f.Run(20 * time.Second)
+			f.nodes[4].alive = false
+			f.Run(f.Now() + down)
+			f.nodes[4].incarnation -= 2
+			f.nodes[4].start()
+			f.Run(f.Now() + 5*time.Second)
+			for _, x := range f.nodes {
+				c.Check(len(x.members.Alive()), qt.Equals, 12, qt.Commentf("%s", x.name))
+			}
+		})
+	}
+}
