Proxy: an unreadable certificate stops the start

Cause: a certificate that could not be read was logged at each handshake, and the caller was served without TLS. Change: the files of the TLS settings are checked at the start; if they can't be read later, handshakes fail.

--- a/internal/proxy/auth.go
+++ b/internal/proxy/auth.go
@@ -91,8 +91,30 @@
 // peerServerName is the host name in the certificates of all nodes.
 const peerServerName = "buckthornport-peer"
 
+// checkCertificates returns an error if a file of the TLS settings can't be read or used. A node that served without TLS instead would
+// take passwords in clear text.
+func (n *Node) checkCertificates() error {
+	if n.settings.CertificateFile == "" && n.settings.PeerCAFile == "" {
+		return nil
+	}
+	if _, err := tls.LoadX509KeyPair(n.settings.CertificateFile, n.settings.KeyFile); err != nil {
+		return fmt.Errorf("certificate_file: %w", err)
+	}
+	if n.settings.PeerCAFile == "" {
+		return nil
+	}
+	ca, err := os.ReadFile(n.settings.PeerCAFile)
+	if err != nil {
+		return fmt.Errorf("peer_ca_file: %w", err)
+	}
+	if !x509.NewCertPool().AppendCertsFromPEM(ca) {
+		return fmt.Errorf("peer_ca_file: %s holds no certificate", n.settings.PeerCAFile)
+	}
+	return nil
+}
+
 // withTLS returns the option that serves TLS to callers. The certificate is read for every handshake, so that it can be replaced
-// without a restart.
+// without a restart. If it can't be read any more, handshakes fail.
 func (n *Node) withTLS() pgwire.ListenerOption {
 	return pgwire.WithTLS(func() *tls.Config {
 		if n.settings.CertificateFile == "" {
@@ -101,7 +123,7 @@
 		pair, err := tls.LoadX509KeyPair(n.settings.CertificateFile, n.settings.KeyFile)
 		if err != nil {
 			n.log.Error("cannot load certificate: " + err.Error())
-			return nil
+			return &tls.Config{MinVersion: tls.VersionTLS12}
 		}
 		return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}
 	})
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -108,7 +108,7 @@
 	if n.signer, err = session.NewSigner(key); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	for _, f := range []func() error{n.initLink, n.initThread, n.initListener} {
+	for _, f := range []func() error{n.checkCertificates, n.initLink, n.initThread, n.initListener} {
 		if err := f(); err != nil {
 			return nil, trace.Wrap(err)
 		}
