Platform: readers pause while the store keeps losing its history

Change: from the second loss in a row on the whole table is read after the back-off of failed reads, 0.8 s at most.

--- a/internal/platform/mirror.go
+++ b/internal/platform/mirror.go
@@ -192,6 +192,9 @@
 		return
 	}
 	c = c.WithReading(false).WithFailures(0)
+	if !e.All {
+		c = c.WithHistoryLosses(0)
+	}
 	switch {
 	case e.Era < c.Era:
 		m.schedule(c.WithReadAt(now + minReadInterval))
@@ -242,12 +245,21 @@
 		return
 	}
 	c = c.WithReading(false)
-	if e.HistoryGone {
-		m.schedule(c.WithKnown(false).WithReadAt(now))
-		return
+	switch {
+	case e.HistoryGone && c.HistoryLosses == 0:
+		m.schedule(c.WithKnown(false).WithHistoryLosses(1).WithReadAt(now))
+	case e.HistoryGone:
+		// While the store keeps losing its history, each change is read as a whole table.
+		m.schedule(c.WithKnown(false).WithHistoryLosses(c.HistoryLosses + 1).WithReadAt(now + m.backoff(c.HistoryLosses)))
+	default:
+		m.schedule(c.WithFailures(c.Failures + 1).WithReadAt(now + m.backoff(c.Failures)))
 	}
-	delay := min(minReadBackoff<<min(c.Failures, 8), maxReadBackoff)
-	m.schedule(c.WithFailures(c.Failures + 1).WithReadAt(now + delay/2 + m.jitter(delay/2)))
+}
+
+// backoff returns a random delay that grows with the number of failures.
+func (m *Mirror) backoff(failures int) time.Duration {
+	delay := min(minReadBackoff<<min(failures, 8), maxReadBackoff)
+	return delay/2 + m.jitter(delay/2)
 }
 
 // change is a change of a copy: the whole table as of a version if all is set, and the changed rows up to that version otherwise.
--- a/internal/platform/mirror_rows.go
+++ b/internal/platform/mirror_rows.go
@@ -87,6 +87,8 @@
 	Reading  bool
 	ReadAt   time.Duration
 	Failures int
+	// HistoryLosses counts the reads of changes that the store no longer had, since one that it had.
+	HistoryLosses int
 	// RequestedAt is when another node was asked for changes, zero if it has answered. Waiting are the nodes that have asked this
 	// one before it had a copy.
 	RequestedAt time.Duration
@@ -155,6 +157,12 @@
 	return c
 }
 
+// WithHistoryLosses returns the row with the number of reads of changes that the store no longer had.
+func (c Copy) WithHistoryLosses(n int) Copy {
+	c.HistoryLosses = n
+	return c
+}
+
 // WithRequest returns the row with the time of the unanswered request to another node, zero for none.
 func (c Copy) WithRequest(at time.Duration) Copy {
 	c.RequestedAt = at
--- a/internal/platform/mirror_test.go
+++ b/internal/platform/mirror_test.go
@@ -543,3 +543,44 @@
 		f.c.Assert(f.reads, qt.Equals, 1)
 	})
 }
+
+// TestMirrorWhileHistoryIsLost guards against readers that call the store without a pause, and read whole tables, while it loses its
+// history again and again.
+func TestMirrorWhileHistoryIsLost(t *testing.T) {
+	const lost, maxCallsPerSecond = 15 * time.Second, 5
+	c := qt.New(t)
+	clock := &tick.VirtualClock{}
+	m, err := platform.NewMirror(platform.WithTable(platform.TableRules{
+		Name: "t", ReadWait: time.Second, ConfirmTimeout: 1500 * time.Millisecond, BatchDelay: 200 * time.Millisecond,
+	}))
+	c.Assert(err, qt.IsNil)
+	calls, steps := 0, 0
+	var lastWhole, longest time.Duration
+	var step func(es ...platform.MirrorEvent)
+	step = func(es ...platform.MirrorEvent) {
+		steps++
+		current := steps
+		as, wake := m.Step(clock.Now(), es)
+		for _, a := range as {
+			switch a.(type) {
+			case platform.ReadTable:
+				calls++
+				longest, lastWhole = max(longest, clock.Now()-lastWhole), clock.Now()
+				clock.After(storeDelay, func() { step(platform.RowsRead{Table: "t", All: true, Version: 5, SentAt: clock.Now()}) })
+			case platform.ReadChanges:
+				calls++
+				clock.After(storeDelay, func() { step(platform.ReadFailed{Table: "t", HistoryGone: true}) })
+			}
+		}
+		clock.After(max(0, wake-clock.Now()), func() {
+			if steps == current {
+				step()
+			}
+		})
+	}
+	step(platform.SourcesAssigned{Reader: true})
+	clock.Run(lost)
+	c.Logf("%d calls, at most %v without a read of the table", calls, longest)
+	c.Assert(calls <= maxCallsPerSecond*int(lost.Seconds()), qt.IsTrue, qt.Commentf("%d calls", calls))
+	c.Assert(longest <= inForceTarget/2, qt.IsTrue, qt.Commentf("%v without a read of the table", longest))
+}
