Platform: nodes that follow others call a refusing store less often

Cause: when the store refuses calls, each node that hears no confirmation reads it itself and tried again each 0.1 to 0.8 s, at 295 nodes and two tables some thousand calls a second, which are priced and keep a store busy that comes back. Change: the delay after a failed read of a node that is neither reader nor substitute grows by 20 ms a node of its region, 3 s at most.

--- a/internal/platform/mirror.go
+++ b/internal/platform/mirror.go
@@ -24,6 +24,9 @@
 	// not return to the store all at once.
 	minReadBackoff = 150 * time.Millisecond
 	maxReadBackoff = 800 * time.Millisecond
+	// followerBackoffPerNode and maxFollowerBackoff bound the delay after a failed read of a node that is neither reader nor substitute.
+	followerBackoffPerNode = 20 * time.Millisecond
+	maxFollowerBackoff     = 3 * time.Second
 	// firstRequests is how many nodes a node without a copy asks for one.
 	firstRequests = 2
 	// maxArrivalWait is how long after its last confirmation a node that is neither reader nor substitute waits for a change that is
@@ -256,9 +259,13 @@
 	}
 }
 
-// backoff returns a random delay that grows with the number of failures.
+// backoff returns a random delay that grows with the number of failures. A node that is neither reader nor substitute waits the longer
+// the more nodes its region has: the readers find out when the store is back.
 func (m *Mirror) backoff(failures int) time.Duration {
 	delay := min(minReadBackoff<<min(failures, 8), maxReadBackoff)
+	if !m.sources.Reader && !m.sources.Substitute {
+		delay = max(delay, min(time.Duration(m.sources.Nodes)*followerBackoffPerNode, maxFollowerBackoff))
+	}
 	return delay/2 + m.jitter(delay/2)
 }
 
--- a/internal/platform/mirror_test.go
+++ b/internal/platform/mirror_test.go
@@ -40,9 +40,10 @@
 	era     uint64
 	// saved holds the rows at each version, for restores.
 	saved map[uint64]map[string]platform.Row
-	// storeDown makes reads fail. storeBytes counts the bytes that each region read from the store.
-	storeDown  bool
-	storeBytes map[string]int
+	// storeDown makes reads hang until they fail, storeRefuses makes them fail at once. storeBytes counts the bytes that each region read from the store.
+	storeDown    bool
+	storeRefuses bool
+	storeBytes   map[string]int
 }
 
 type mirrorNode struct {
@@ -183,6 +184,10 @@
 
 func (x *mirrorNode) answer(after uint64, all bool, sentAt time.Duration) {
 	x.reads++
+	if x.f.storeRefuses {
+		x.step(platform.ReadFailed{Table: "t"})
+		return
+	}
 	if x.f.storeDown || x.cutOff {
 		x.f.After(time.Second, func() { x.step(platform.ReadFailed{Table: "t"}) })
 		return
@@ -544,6 +549,32 @@
 	})
 }
 
+// TestMirrorWhileStoreRefuses guards against a fleet that calls a store which refuses all calls again and again from each node, and
+// against nodes that learn late that it is back.
+func TestMirrorWhileStoreRefuses(t *testing.T) {
+	const perRegion, outage = 150, 5 * time.Second
+	c := qt.New(t)
+	f := newMirrorFleet(1, 2, perRegion)
+	f.put("config", routeValue(20, 1))
+	f.Run(5 * time.Second)
+	for _, x := range f.nodes {
+		x.reads = 0
+	}
+	f.storeRefuses = true
+	f.Run(f.Now() + outage)
+	calls := 0
+	for _, x := range f.nodes {
+		calls += x.reads
+	}
+	// Each node may find out for itself, and once more; the readers and substitutes keep trying.
+	c.Logf("%d calls", calls)
+	c.Check(calls <= 2*len(f.nodes)+8*20, qt.IsTrue, qt.Commentf("%d calls", calls))
+	f.storeRefuses = false
+	f.put("config", routeValue(20, 2))
+	f.Run(f.Now() + inForceTarget)
+	f.assertCopies(c)
+}
+
 // TestMirrorWhileHistoryIsLost guards against readers that call the store without a pause, and read whole tables, while it loses its
 // history again and again.
 func TestMirrorWhileHistoryIsLost(t *testing.T) {
