--- a/internal/caller/refusal_test.go
+++ b/internal/caller/refusal_test.go
@@ -20,6 +20,18 @@
 	return l.openConns(l.step(caller.Declined{Conn: s.Conn, Request: s.Request, Reason: why}))
 }
 
+// declineAll declines each attempt of a request that the actions begin, and returns the actions that refuse it.
+func (l *appointedLane) declineAll(as []caller.Action) []caller.Action {
+	for !has[caller.Refuse](as) {
+		if has[caller.Send](as) {
+			as = l.decline(only[caller.Send](l.c, as), caller.DeclineBusy)
+		} else {
+			as = l.wait(100 * time.Millisecond)
+		}
+	}
+	return as
+}
+
 func assertRefusedAs(l *appointedLane, as []caller.Action, reason caller.Reason) {
 	l.c.Helper()
 	l.c.Assert(only[caller.Refuse](l.c, as).Refusal.Reason, qt.Equals, reason)
@@ -43,26 +55,12 @@
 		l := newAppointedLane(qt.New(t))
 		l.connectReplica()
 		as := l.lose(only[caller.Send](l.c, l.request(2, read)))
-		for !has[caller.Refuse](as) {
-			if !has[caller.Send](as) {
-				as = l.wait(100 * time.Millisecond)
-				continue
-			}
-			as = l.decline(only[caller.Send](l.c, as), caller.DeclineBusy)
-		}
-		assertRefusedAs(l, as, caller.ReasonInterrupted)
+		assertRefusedAs(l, l.declineAll(as), caller.ReasonInterrupted)
 	})
 	t.Run("but one that was only declined is refused as not run", func(t *testing.T) {
 		l := newAppointedLane(qt.New(t))
 		l.connectReplica()
 		as := l.request(2, read)
-		for !has[caller.Refuse](as) {
-			if !has[caller.Send](as) {
-				as = l.wait(100 * time.Millisecond)
-				continue
-			}
-			as = l.decline(only[caller.Send](l.c, as), caller.DeclineBusy)
-		}
-		assertRefusedAs(l, as, caller.ReasonOverload)
+		assertRefusedAs(l, l.declineAll(as), caller.ReasonOverload)
 	})
 }
