Caller: what would wait beyond its queue timeout is refused at once

Cause: a request was admitted while its expected wait was below its deadline, but refused when its queue timeout, 0.7 of the objective, had passed: 280 ms late for a caller that knew of no other node meanwhile. Change: admission asks for the time until the queue timeout (the deadline while there is no primary), and leaves 0.3 of it for what the estimate misses. The mean interval between departures takes a single pause for four times itself at most and 33 departures into account. The time to return follows the expected wait, spread at random over half to one and a half of it.

--- a/internal/caller/policy.go
+++ b/internal/caller/policy.go
@@ -169,6 +169,9 @@
 	spareConnTimeout = 300 * time.Millisecond
 	// queueTimeoutTenths is the part of its objective, in tenths, that a request may wait for a server.
 	queueTimeoutTenths = 7
+	// admittedWaitTenths is the longest expected wait of a request that is queued, in tenths of the time until it would be refused.
+	// The rest covers what the estimate misses: a request that is refused at once can still be served elsewhere.
+	admittedWaitTenths = 7
 	// primaryPenalty is how much slower a read may be at a replica before it takes a slot of the primary.
 	primaryPenalty = 30 * time.Millisecond
 )
@@ -186,6 +189,7 @@
 	p.ReplicaWait = connectWait
 	p.SelectQueue = queueByAnswerTime
 	p.QueueTimeout = waitWithinObjective
+	p.Admit = func(wait, left time.Duration) bool { return wait <= left*admittedWaitTenths/10 }
 	p.MinIdle = 1
 	p.IdleTimeout = spareConnTimeout
 	p.Route = func(q RouteQuery) []Server { return routeQuickest(q, distanceRank) }
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -30,6 +30,14 @@
 	slowClassTenths = 13
 )
 
+const (
+	// maxIntervalGrowth and minIntervalLimit bound the influence of a single interval between departures on their mean.
+	maxIntervalGrowth = 4
+	minIntervalLimit  = 20 * time.Millisecond
+	// departureWeight is the weight of the latest interval in the mean. It keeps the mean within some 12% for random service times.
+	departureWeight = 0.03
+)
+
 // departureStats is the row of one queue: the weighted mean interval between departures while other requests waited in it.
 type departureStats struct {
 	lastAt   time.Duration
@@ -43,7 +51,9 @@
 	case d.nonEmpty && d.interval == 0:
 		d.interval = now - d.lastAt
 	case d.nonEmpty:
-		d.interval += time.Duration(meanWeight * float64(now-d.lastAt-d.interval))
+		// A single pause, as while a primary is replaced, says little about the departures after it.
+		took := min(now-d.lastAt, max(maxIntervalGrowth*d.interval, minIntervalLimit))
+		d.interval += time.Duration(departureWeight * float64(took-d.interval))
 	}
 	d.lastAt = now
 	d.nonEmpty = nonEmpty
@@ -64,8 +74,11 @@
 		return
 	}
 	q := l.policy.SelectQueue(r, l.slowClass(r))
-	if wait := l.expectedWait(q); !l.policy.Admit(wait, r.Deadline-now) {
-		l.refuse(r, Refusal{Reason: ReasonOverload, Retry: wait, Detail: fmt.Sprintf("expected wait %v", wait)})
+	if wait := l.expectedWait(q); !l.policy.Admit(wait, l.queuedUntil(r)-now) {
+		// The random part keeps those refused at a crest from returning all at once.
+		l.refuse(r, Refusal{
+			Reason: ReasonOverload, Retry: max(wait/2+l.jitter(wait), time.Millisecond), Detail: fmt.Sprintf("expected wait %v", wait),
+		})
 		return
 	}
 	l.queues[q] = append(l.queues[q], r.ID)
@@ -80,6 +93,15 @@
 	l.queues[q] = slices.Insert(l.queues[q], 0, r.ID)
 }
 
+// queuedUntil returns when a request that still waits is refused: at its queue timeout, or at its deadline while there is no
+// primary.
+func (l *Lane) queuedUntil(r Request) time.Duration {
+	if l.leader() == "" {
+		return r.Deadline
+	}
+	return min(r.Deadline, r.Arrived+l.policy.QueueTimeout(r))
+}
+
 // expectedWait estimates how long a request that joins a queue would wait, from the interval at which requests leave it. The
 // interval covers every cause of delay: slots, connections and the work itself.
 func (l *Lane) expectedWait(q QueueID) time.Duration {
