--- a/internal/peer/dispatchers.go
+++ b/internal/peer/dispatchers.go
@@ -73,11 +73,11 @@
 
 // Update replaces the members, and adds the groups that are not in the table yet.
 func (d *Dispatchers) Update(members []Update, groups []string) {
-	known := d.groups.Keys()
-	joined, left := d.replaceMembers(members)
-	for _, k := range known {
-		g, _ := d.groups.Get(k)
-		d.groups.Put(k, d.updateGroup(k, g, joined, left))
+	if joined, left := d.replaceMembers(members); len(joined)+len(left) > 0 {
+		for _, k := range d.groups.Keys() {
+			g, _ := d.groups.Get(k)
+			d.groups.Put(k, d.updateGroup(k, g, joined, left))
+		}
 	}
 	for _, k := range groups {
 		if _, ok := d.groups.Get(k); !ok {
