Fleet: a node that returns finds its row in the list and makes no other call

Cause: the node wrote its row under the condition that there is none before it read the list. Change: the node reads the list first. One that lacks its row writes it and reads the list again 1 s after its start, as before; one that returns writes nothing any more. Measured: TestReturnIntoSlowStore fails on the code before (one more write).

--- a/internal/fleet/dispatcher_test.go
+++ b/internal/fleet/dispatcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -10,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"buckthornport.example/buckthornport/internal/peer"
+	"buckthornport.example/buckthornport/internal/standin/metadata"
 )
 
 // scarceConnections is the connection limit of each server in deployments with many nodes.
@@ -92,6 +94,33 @@
 	assertNoViolations(c, d)
 }
 
+// TestReturnIntoSlowStore guards against a node that is back from a loss of power while the store is slow, and makes one slow call
+// after another before it knows the fleet: it finds its row in the list and needs no other call.
+func TestReturnIntoSlowStore(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	c := qt.New(t)
+	d := startDeployment(c, 3)
+	old := d.nodes[2]
+	waitUntil(c, "the node is registered", func() bool { return d.platform.Value(tableMembers, old.settings.Peer) != nil })
+	old.Stop()
+	waitUntil(c, "the node has stopped", func() bool {
+		l, err := net.Listen("tcp", old.settings.Peer)
+		if err == nil {
+			_ = l.Close()
+		}
+		return err == nil
+	})
+	writes := d.platform.Calls("/rows-tx")
+	d.platform.SetStoreFaults(metadata.StoreFaults{Delay: delay})
+	d.run(c, old.settings)
+	n := d.nodes[len(d.nodes)-1]
+	began := n.clock()
+	waitUntil(c, "the node knows the fleet", func() bool { return len(n.Status().Members) == 3 })
+	c.Check(n.clock()-began < 2*delay, qt.IsTrue)
+	waitUntil(c, "node is ready", n.Ready)
+	c.Check(d.platform.Calls("/rows-tx"), qt.Equals, writes)
+}
+
 // dispatcherAndPeer returns a node that serves the group for its zone, and another node of the same zone that does not.
 func (d *deployment) dispatcherAndPeer(c *qt.C) (dispatcher, other *Node) {
 	c.Helper()
--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -40,8 +40,8 @@
 	// sooner; the table only reconnects parts of the fleet that have lost contact with each other.
 	minMembersInterval     = time.Minute
 	membersIntervalPerNode = 750 * time.Millisecond
-	// fleetStartDelay is how long after its start a node that registers for the first time reads the member table. It is well above
-	// the time between the starts of the nodes of a fleet that starts at once.
+	// fleetStartDelay is how long after its start a node that registers for the first time reads the member table again. It is well
+	// above the time between the starts of the nodes of a fleet that starts at once.
 	fleetStartDelay = time.Second
 	// newEraDelay is the longest delay until a node registers again in a new era of the store.
 	newEraDelay = 2 * time.Second
@@ -191,9 +191,12 @@
 }
 
 // followMembers reads the member table at intervals and in each era of the store, until the node's context ends. It registers this
-// node first, and again in each era, since the store may have lost its row.
+// node if the table lacks its row, and again in each era, since the store may have lost it. A node that finds no row of its own
+// reads the table once more, fleetStartDelay after its start: many nodes may be starting for the first time, and one that took
+// those few that have registered for the whole fleet would serve every group.
 func (n *Node) followMembers() error {
-	registeredIn := n.registerNewMember()
+	readAgainAt := n.clock() + fleetStartDelay
+	registeredIn := uint64(0)
 	delay := minRetryDelay
 	for n.ctx.Err() == nil {
 		rs, err := n.readMembers()
@@ -204,37 +207,32 @@
 			continue
 		}
 		delay = minRetryDelay
-		if registeredIn == 0 || registeredIn < rs.Era {
-			registeredIn = max(1, rs.Era)
-			go n.registerMember()
+		era := max(1, rs.Era)
+		first := registeredIn == 0
+		if registeredIn < era {
+			registeredIn = era
+			if n.hasOwnRow(rs) {
+				first = false
+			} else {
+				go n.registerMember()
+			}
+		}
+		if wait := readAgainAt - n.clock(); first && wait > 0 {
+			n.sleep(wait)
+			continue
 		}
+		n.applyMembers(rs)
 		n.awaitMembersRead(max(minMembersInterval, time.Duration(len(rs.Rows))*membersIntervalPerNode))
 	}
 	return n.ctx.Err()
 }
 
-// registerNewMember writes this node's row if the member table has none, and then waits until fleetStartDelay after its start: many
-// nodes may be starting for the first time, and one that took those few that have registered for the whole fleet would serve every
-// group. It returns the era in which the node is registered, zero if it can't tell.
-func (n *Node) registerNewMember() uint64 {
+// hasOwnRow reports whether the member table holds this node's row as it would write it.
+func (n *Node) hasOwnRow(rs platform.Rows) bool {
 	raw, err := n.encodeMember()
-	if err != nil {
-		return 0
-	}
-	readAt := n.clock() + fleetStartDelay
-	ctx, stop := context.WithTimeout(n.ctx, storeCallTimeout)
-	defer stop()
-	r, written, err := n.store.CompareAndSet(ctx, tableMembers, n.settings.Peer, raw, 0)
-	switch {
-	case err != nil:
-		n.auditDependency("store/"+tableMembers, "not_registered", err)
-		return 0
-	case written:
-		n.sleep(readAt - n.clock())
-	case !bytes.Equal(r.Value, raw):
-		return 0
-	}
-	return max(1, r.Era)
+	return err == nil && slices.ContainsFunc(rs.Rows, func(r platform.Row) bool {
+		return r.Key == n.settings.Peer && bytes.Equal(r.Value, raw)
+	})
 }
 
 // awaitMembersRead waits until the member table must be read again: for the given time, or for a short one if the store begins a
@@ -250,14 +248,14 @@
 	}
 }
 
-// readMembers reads the member table and passes the registered nodes on to the membership.
 func (n *Node) readMembers() (platform.Rows, error) {
 	ctx, stop := context.WithTimeout(n.ctx, storeCallTimeout)
 	defer stop()
-	rs, err := n.store.ReadAll(ctx, tableMembers)
-	if err != nil {
-		return rs, err
-	}
+	return n.store.ReadAll(ctx, tableMembers)
+}
+
+// applyMembers passes the registered nodes on to the membership.
+func (n *Node) applyMembers(rs platform.Rows) {
 	var us []peer.Update
 	for _, r := range rs.Rows {
 		u, err := decodeMember(r.Key, r.Value, n.settings.Zones)
@@ -269,7 +267,6 @@
 		us = append(us, u)
 	}
 	n.thread.Post(peer.VMsListed{Updates: us})
-	return rs, nil
 }
 
 // memberRow is the row that a node writes about itself into the member table.
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -112,6 +112,11 @@
 	if len(d.nodes) > 0 {
 		s.Seeds = []string{d.nodes[0].settings.Peer}
 	}
+	d.run(c, s)
+}
+
+// run starts a node with the given settings.
+func (d *deployment) run(c *qt.C, s settings.FleetNode) {
 	level := zap.NewAtomicLevel()
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), &d.log, level)
 	n, err := New(context.Background(), s, WithLogger(zap.New(core), level))
