--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -34,7 +34,7 @@
 	// maxIntervalGrowth and minIntervalLimit bound the influence of a single interval between departures on their mean.
 	maxIntervalGrowth = 4
 	minIntervalLimit  = 20 * time.Millisecond
-	// departureWeight is the weight of the latest interval in the mean. It keeps the mean within some 12% for random service times.
+	// departureWeight is the weight of the latest interval in the mean.
 	departureWeight = 0.03
 )
 
--- a/internal/peer/dispatchers_test.go
+++ b/internal/peer/dispatchers_test.go
@@ -50,8 +50,7 @@
 	}
 }
 
-// TestDispatchersAtScale guards against membership changes that cost a hash per pair of member and group: with 295 nodes and 20
-// groups a change took 8 ms of processor time at each node, and a slow start of the fleet brought hundreds of them.
+// TestDispatchersAtScale guards against membership changes that cost a hash per pair of member and group.
 func TestDispatchersAtScale(t *testing.T) {
 	const nodes, groupCount = 295, 20
 	zones := []string{"a", "b", "c", "d", "e", "f"}
