A settings file that is being written is not applied

Not the test alone: the poll of both programs could read and apply half a file, and log its mistakes, until the next poll 10 s later. Reproduced by sequences of readings (a file in parts, a file that is gone for a moment); ruled out: the signal's path, which reads once and at once, as before.

Change: what a poll finds counts only when the next poll finds the same. Polls are 5 s apart, so a change is found within 10 s, as the docs say. The reading and the polls are handed to Follow; the test goes through sequences of readings and leans on no file and no clock, so it is as strict and can't race.

--- a/cmd/buckthornport-fleet/main.go
+++ b/cmd/buckthornport-fleet/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/gravitational/trace"
@@ -69,7 +70,8 @@
 		return trace.Wrap(err)
 	}
 	go drainOnSignal(n, stop)
-	go settings.Follow(n.Context(), c.Settings, source, reload, settings.PollInterval, func(source []byte, err error) {
+	read := func() ([]byte, error) { return os.ReadFile(c.Settings) }
+	go settings.Follow(n.Context(), source, read, reload, time.Tick(settings.PollInterval), func(source []byte, err error) {
 		if err == nil {
 			err = n.Reload(c.Settings, source)
 		}
--- a/cmd/buckthornport/proxy.go
+++ b/cmd/buckthornport/proxy.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
@@ -50,7 +51,8 @@
 	}
 	disconnected := make(chan int, 1)
 	go drainOnSignal(env, n, log, disconnected)
-	go settings.Follow(env.ctx, c.Settings, source, reload, settings.PollInterval, func(source []byte, err error) {
+	read := func() ([]byte, error) { return os.ReadFile(c.Settings) }
+	go settings.Follow(env.ctx, source, read, reload, time.Tick(settings.PollInterval), func(source []byte, err error) {
 		if err == nil {
 			err = n.Reload(c.Settings, source)
 		}
--- a/internal/settings/follow.go
+++ b/internal/settings/follow.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"bytes"
 	"context"
 	"os"
 	"time"
@@ -10,17 +9,23 @@
 )
 
 // PollInterval is the time between reads of a settings file, which may change without a signal.
-const PollInterval = 10 * time.Second
+const PollInterval = 5 * time.Second
 
-// Follow calls reload with the content of a settings file on each signal, and when a poll finds another content than last time,
-// until the context ends. The process has started with the content current. If the file can't be read, reload gets the error, once
-// for successive polls.
-func Follow(ctx context.Context, file string, current []byte, signals <-chan os.Signal, interval time.Duration,
+// A reading is what was found in place of a settings file.
+type reading struct {
+	content string
+	missing bool
+}
+
+// Follow calls reload with the content of a settings file on each signal, and when polls find another content than last time, until
+// the context ends. The process has started with the content current. An error of read is passed on to
+// reload. What a poll finds counts only when the next poll finds the same, because a file may be read while it is being written; a
+// signal says that it is complete.
+func Follow(ctx context.Context, current []byte, read func() ([]byte, error), signals <-chan os.Signal, polls <-chan time.Time,
 	reload func(source []byte, err error),
 ) {
-	poll := time.NewTicker(interval)
-	defer poll.Stop()
-	failed := false
+	known := reading{content: string(current)}
+	found := known
 	for {
 		signaled := false
 		select {
@@ -28,14 +33,13 @@
 			return
 		case <-signals:
 			signaled = true
-		case <-poll.C:
-		}
-		source, err := os.ReadFile(file)
-		unchanged := err == nil && bytes.Equal(source, current) || err != nil && failed
-		if failed = err != nil; !failed {
-			current = source
+		case <-polls:
 		}
-		if signaled || !unchanged {
+		source, err := read()
+		last := found
+		found = reading{content: string(source), missing: err != nil}
+		if signaled || found == last && found != known {
+			known = found
 			reload(source, trace.ConvertSystemError(err))
 		}
 	}
--- a/internal/settings/follow_test.go
+++ b/internal/settings/follow_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"errors"
 	"os"
-	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -13,72 +13,64 @@
 	"buckthornport.example/buckthornport/internal/settings"
 )
 
-// followed is a settings file that is followed until the test ends.
-type followed struct {
-	c       *qt.C
-	file    string
-	signals chan os.Signal
-	reloads chan string
+// An event makes the follower read the file: a signal, or a poll.
+type event struct {
+	signal bool
+	finds  string // the content, or unreadable
 }
 
-func follow(c *qt.C, content string, interval time.Duration) *followed {
-	f := &followed{
-		c: c, file: filepath.Join(c.TempDir(), "settings.jsonc"), signals: make(chan os.Signal, 1), reloads: make(chan string, 100),
-	}
-	f.write(content)
+const unreadable = "an error"
+
+// reloads follows a file with the content "a" through the events.
+func reloads(events []event) []string {
+	var got []string
 	ctx, stop := context.WithCancel(context.Background())
-	c.Cleanup(stop)
-	go settings.Follow(ctx, f.file, []byte(content), f.signals, interval, func(source []byte, err error) {
-		if err != nil {
-			source = []byte("error")
+	signals, polls, finds, ended := make(chan os.Signal), make(chan time.Time), make(chan string), make(chan struct{})
+	read := func() ([]byte, error) {
+		if content := <-finds; content != unreadable {
+			return []byte(content), nil
 		}
-		f.reloads <- string(source)
-	})
-	return f
-}
-
-func (f *followed) write(content string) {
-	f.c.Assert(os.WriteFile(f.file, []byte(content), 0o600), qt.IsNil)
-}
-
-func (f *followed) assertReload(want string) {
-	f.c.Helper()
-	select {
-	case got := <-f.reloads:
-		f.c.Assert(got, qt.Equals, want)
-	case <-time.After(5 * time.Second):
-		f.c.Fatalf("no reload of %q", want)
+		return nil, errors.New(unreadable)
 	}
-}
-
-func (f *followed) assertNoReload() {
-	f.c.Helper()
-	select {
-	case got := <-f.reloads:
-		f.c.Fatalf("reload of %q", got)
-	case <-time.After(30 * time.Millisecond):
+	go func() {
+		defer close(ended)
+		settings.Follow(ctx, []byte("a"), read, signals, polls, func(source []byte, err error) {
+			if err != nil {
+				source = []byte(unreadable)
+			}
+			got = append(got, string(source))
+		})
+	}()
+	for _, e := range events {
+		if e.signal {
+			signals <- syscall.SIGHUP
+		} else {
+			polls <- time.Time{}
+		}
+		finds <- e.finds
 	}
+	stop()
+	<-ended
+	return got
 }
 
 func TestFollow(t *testing.T) {
-	t.Run("a signal reloads an unchanged file", func(t *testing.T) {
-		f := follow(qt.New(t), "a", time.Hour)
-		f.signals <- syscall.SIGHUP
-		f.assertReload("a")
-	})
-	t.Run("a change is found without a signal, and once", func(t *testing.T) {
-		f := follow(qt.New(t), "a", time.Millisecond)
-		f.assertNoReload()
-		f.write("bc")
-		f.assertReload("bc")
-		f.assertNoReload()
-	})
-	t.Run("a file that is gone is reported once", func(t *testing.T) {
-		f := follow(qt.New(t), "a", time.Millisecond)
-		f.c.Assert(os.Remove(f.file), qt.IsNil)
-		f.assertReload("error")
-		f.assertNoReload()
-		f.write("a")
-		f.assertNoReload()
-	})
+	for _, tc := range []struct {
+		name   string
+		events []event
+		want   []string
+	}{
+		{"polls of an unchanged file", []event{{false, "a"}, {false, "a"}}, nil},
+		{"a signal reloads an unchanged file", []event{{true, "a"}, {false, "a"}, {false, "a"}}, []string{"a"}},
+		{"a signal reloads a changed file at once", []event{{true, "bc"}, {false, "bc"}, {false, "bc"}}, []string{"bc"}},
+		{"polls find a change, once", []event{{false, "bc"}, {false, "bc"}, {false, "bc"}, {false, "bc"}}, []string{"bc"}},
+		{"a file that is being written", []event{{false, ""}, {false, "b"}, {false, "bc"}, {false, "bc"}}, []string{"bc"}},
+		{"a signal while it is written", []event{{true, "b"}, {false, "bc"}, {false, "bc"}}, []string{"b", "bc"}},
+		{"a change taken back", []event{{false, "bc"}, {false, "a"}, {false, "bc"}, {false, "a"}, {false, "a"}}, nil},
+		{"an unreadable file", []event{{false, unreadable}, {false, unreadable}, {false, unreadable}}, []string{unreadable}},
+		{"an unreadable file returns", []event{{true, unreadable}, {false, "a"}, {false, "a"}}, []string{unreadable, "a"}},
+		{"a file that is replaced", []event{{false, unreadable}, {false, "a"}, {false, "a"}}, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) { qt.Assert(t, reloads(tc.events), qt.DeepEquals, tc.want) })
+	}
 }
