Readers of a table learn of the first changes of a burst at once

Cause: after each read that returned changes, the first one of a whole table too, a reader of the servers' table waited 1 s. Until then it had a primary without replicas, or none: work waited for a proof that the primary leads, was refused after 350 ms, and 20 writes were answered as in doubt. Ruled out: the start of the node, its configuration (in force after 25 ms), gossip (terms known 50 to 400 ms after the start).

Change: the delay between the reads of a burst doubles from 100 ms up to the batch delay; a read that waited for longer begins a new burst.

Measured: TestMirrorInABurst; four of its five cases fail before. A burst of 10 s with a server each 50 ms costs 13 reads, 10 before.

--- a/internal/platform/mirror.go
+++ b/internal/platform/mirror.go
@@ -20,6 +20,8 @@
 	announceInterval = 500 * time.Millisecond
 	// minReadInterval is the minimum time between two reads of the store.
 	minReadInterval = 100 * time.Millisecond
+	// maxBurstDoublings bounds the growth of the delay between the reads of a burst.
+	maxBurstDoublings = 8
 	// minReadBackoff and maxReadBackoff bound the exponential back-off after a failed read. Each delay is jittered, so that nodes do
 	// not return to the store all at once.
 	minReadBackoff = 150 * time.Millisecond
@@ -47,7 +49,8 @@
 	// ConfirmTimeout is the time without a confirmation after which a substitute reads the store itself. Other nodes wait for
 	// followerPatience times as long, so that a slow change is not read by all of them.
 	ConfirmTimeout time.Duration
-	// BatchDelay is the delay of the next read after one that returned changes, which come in bursts.
+	// BatchDelay is the longest delay of the next read after one that returned changes, which come in bursts. A burst ends with a
+	// read that waited for longer.
 	BatchDelay time.Duration
 	// CompareAge, if not nil, compares the ages of two values of a row by their writer's own numbering: a negative result means that
 	// a was written before b, zero that this is unknown or that they are equally old. Where the store has lost a later value, the
@@ -223,9 +226,12 @@
 	case !m.sources.Reader:
 		c = m.withReadPostponed(c.WithReadAt(now + minReadInterval))
 	case changed:
-		c = c.WithReadAt(now + c.Rules.BatchDelay)
+		if now-e.SentAt >= c.Rules.BatchDelay {
+			c = c.WithBurstReads(0)
+		}
+		c = c.WithReadAt(now + c.batchDelay()).WithBurstReads(c.BurstReads + 1)
 	default:
-		c = c.WithReadAt(max(now, e.SentAt+minReadInterval))
+		c = c.WithReadAt(max(now, e.SentAt+minReadInterval)).WithBurstReads(0)
 	}
 	m.schedule(c)
 }
--- a/internal/platform/mirror_rows.go
+++ b/internal/platform/mirror_rows.go
@@ -89,6 +89,8 @@
 	Failures int
 	// HistoryLosses counts the reads of changes that the store no longer had, since one that it had.
 	HistoryLosses int
+	// BurstReads counts the reads of the current burst that have returned changes.
+	BurstReads int
 	// RequestedAt is when another node was asked for changes, zero if it has answered. Waiting are the nodes that have asked this
 	// one before it had a copy.
 	RequestedAt time.Duration
@@ -163,6 +165,18 @@
 	return c
 }
 
+// WithBurstReads returns the row with the number of reads of the current burst.
+func (c Copy) WithBurstReads(n int) Copy {
+	c.BurstReads = n
+	return c
+}
+
+// batchDelay returns the time until the next read after one that returned changes. It doubles with each read of a burst, so that the
+// first changes are known at once.
+func (c Copy) batchDelay() time.Duration {
+	return min(minReadInterval<<min(c.BurstReads, maxBurstDoublings), c.Rules.BatchDelay)
+}
+
 // WithRequest returns the row with the time of the unanswered request to another node, zero for none.
 func (c Copy) WithRequest(at time.Duration) Copy {
 	c.RequestedAt = at
--- a/internal/platform/mirror_test.go
+++ b/internal/platform/mirror_test.go
@@ -45,6 +45,7 @@
 	storeDown    bool
 	storeRefuses bool
 	storeBytes   map[string]int
+	batchDelay   time.Duration
 }
 
 type mirrorNode struct {
@@ -70,9 +71,14 @@
 }
 
 func newMirrorFleet(seed int64, regions, perRegion int) *mirrorFleet {
+	return newBatchedMirrorFleet(seed, regions, perRegion, 200*time.Millisecond)
+}
+
+func newBatchedMirrorFleet(seed int64, regions, perRegion int, batchDelay time.Duration) *mirrorFleet {
 	f := &mirrorFleet{
 		VirtualClock: &tick.VirtualClock{}, random: rand.New(rand.NewSource(seed)), byName: map[string]*mirrorNode{},
 		rows: map[string]platform.Row{}, storeBytes: map[string]int{}, era: 1, saved: map[uint64]map[string]platform.Row{0: {}},
+		batchDelay: batchDelay,
 	}
 	for r := range regions {
 		for i := range perRegion {
@@ -92,7 +98,7 @@
 	x.mirror, err = platform.NewMirror(
 		platform.WithMirrorJitter(func(d time.Duration) time.Duration { return time.Duration(x.f.random.Int63n(int64(d) + 1)) }),
 		platform.WithTable(platform.TableRules{
-			Name: "t", ReadWait: time.Second, ConfirmTimeout: 1500 * time.Millisecond, BatchDelay: 200 * time.Millisecond,
+			Name: "t", ReadWait: time.Second, ConfirmTimeout: 1500 * time.Millisecond, BatchDelay: x.f.batchDelay,
 			CompareAge: bytes.Compare,
 		}))
 	if err != nil {
@@ -314,6 +320,49 @@
 	})
 }
 
+// TestMirrorInABurst guards against nodes that learn of servers a second late because their readers had just read the table, as
+// when servers register again after a loss of the store's leases, and against readers that read each change of a burst by itself.
+func TestMirrorInABurst(t *testing.T) {
+	const batchDelay, interval, burst = time.Second, 50 * time.Millisecond, 10 * time.Second
+	newFleet := func() *mirrorFleet {
+		f := newBatchedMirrorFleet(1, 1, 3, batchDelay)
+		f.put("server 0", []byte("1"))
+		return f
+	}
+	for _, after := range []time.Duration{50 * time.Millisecond, 180 * time.Millisecond, 400 * time.Millisecond} {
+		t.Run(fmt.Sprintf("a server registers %v after the start", after), func(t *testing.T) {
+			f := newFleet()
+			f.Run(f.Now() + after)
+			f.put("server 1", []byte("1"))
+			f.Run(f.Now() + batchDelay/2)
+			f.assertCopies(t)
+		})
+	}
+	t.Run("two servers register soon after each other", func(t *testing.T) {
+		f := newFleet()
+		f.Run(f.Now() + 3*time.Second)
+		f.put("server 1", []byte("1"))
+		f.Run(f.Now() + interval)
+		f.put("server 2", []byte("1"))
+		f.Run(f.Now() + batchDelay/2)
+		f.assertCopies(t)
+	})
+	t.Run("a long burst is read in batches", func(t *testing.T) {
+		f := newFleet()
+		readers := f.readers()
+		for i := range int(burst / interval) {
+			f.Run(f.Now() + interval)
+			f.put(fmt.Sprintf("server %d", i+1), []byte("1"))
+		}
+		for _, x := range readers {
+			t.Logf("%s: %d reads", x.name, x.reads)
+			qt.Check(t, x.reads <= 2*int(burst/batchDelay), qt.IsTrue, qt.Commentf("%s: %d reads", x.name, x.reads))
+		}
+		f.Run(f.Now() + batchDelay + interval)
+		f.assertCopies(t)
+	})
+}
+
 // TestMirrorFailures guards against nodes that miss a change when the nodes that they hear from are lost.
 func TestMirrorFailures(t *testing.T) {
 	for _, k := range []struct {
