A node that is cut off from a group's dispatchers serves the group itself

It found the others suspect one by one (9.99, 10.49, 10.99, 11.49 and 11.99 s: one ping each 0.5 s), counted them as dead 3 s later, and only then watched the group; the order to promote went out at 14.77 s. Until 13.5 s it refused all callers because no serving node could be reached. Ruled out: the detection itself (1.2 s, as stated), the lease (13 ms), the store (reachable).

While all dispatchers of a group are suspect, those nodes that would be its dispatchers without the suspects serve it too, with a share among all of them; nothing changes while one dispatcher is trusted. Weighed: dead after a shorter time (moves groups at each slow node of a large fleet); links that fail as evidence (a fleet that starts would have every node serve everything).

TestDispatchersSuspect: not served within 30 s with the old choice.

--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -213,6 +213,7 @@
 		case peer.MemberChanged:
 			n.writeAuditRecord(now, next, operator.Record{Kind: operator.KindMember, Server: a.Name, Cause: a.State.String()}.
 				WithEvidence("before", a.Previous.String()))
+			n.actions = append(n.actions, a)
 		default:
 			n.actions = append(n.actions, a)
 		}
--- a/internal/control/thread.go
+++ b/internal/control/thread.go
@@ -44,10 +44,12 @@
 	PutRecords      func(ctx context.Context, a platform.PutRecords) error
 	RecordIntent    func(a upstream.RecordIntent)
 	AnnouncePrimary func(a upstream.AnnouncePrimary)
-	// PublishView passes the snapshot of a group to its lane. AdoptBundle applies a bundle. MembersChanged reports the members.
+	// PublishView passes the snapshot of a group to its lane. AdoptBundle applies a bundle. MembersChanged reports the members,
+	// MemberChanged the state of one of them; it may be nil.
 	PublishView    func(v upstream.GroupView)
 	AdoptBundle    func(b bundle.Bundle, encoded []byte)
 	MembersChanged func(a peer.MembersChanged)
+	MemberChanged  func(a peer.MemberChanged)
 	// ServerChanged reports a server that was added to the platform's server list, changed in it or removed from it.
 	ServerChanged func(c platform.ServerChange)
 	// ReadTable and ReadChanges read a table of the platform's store. HistoryGone reports whether an error of ReadChanges shows that
@@ -126,6 +128,10 @@
 		t.Send(a)
 	case peer.MembersChanged:
 		t.MembersChanged(a)
+	case peer.MemberChanged:
+		if t.MemberChanged != nil {
+			t.MemberChanged(a)
+		}
 	case platform.PutRecords:
 		go t.putRecords(a)
 	case platform.MirrorAction:
--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -100,7 +100,7 @@
 	t.RecordIntent = func(upstream.RecordIntent) {}
 	t.AnnouncePrimary = func(upstream.AnnouncePrimary) {}
 	t.AdoptBundle = n.adoptBundle
-	t.MembersChanged = n.updateMembers
+	t.MembersChanged, t.MemberChanged = n.updateMembers, n.updateMember
 	t.ServerChanged = n.updateServer
 	t.LogAuditRecord = n.writeAuditRecord
 	t.PublishView = n.publishView
--- a/internal/fleet/dispatcher_test.go
+++ b/internal/fleet/dispatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -211,6 +212,48 @@
 	})
 }
 
+// assertServes waits until a node serves the group itself, or no longer does.
+func assertServes(c *qt.C, n *Node, want bool) {
+	c.Helper()
+	waitUntil(c, fmt.Sprintf("the node serves the group: %t", want), func() bool {
+		_, serves := n.laneFor("books")
+		return serves == want
+	})
+}
+
+// TestDispatchersSuspect guards against a node that is cut off together with the group's servers, and refuses its callers until it
+// considers the group's dispatchers dead.
+func TestDispatchersSuspect(t *testing.T) {
+	c := qt.New(t)
+	d := startScarceDeployment(c, 9)
+	_, other := d.dispatcherAndPeer(c)
+	other.mu.Lock()
+	dispatchers := other.assignments["books"].nodes
+	other.mu.Unlock()
+	report := func(name string, s peer.State) { other.updateMember(peer.MemberChanged{Name: name, State: s}) }
+
+	for _, name := range dispatchers[1:] {
+		report(name, peer.StateSuspect)
+	}
+	assertServes(c, other, false)
+	report(dispatchers[0], peer.StateSuspect)
+	for _, n := range d.nodes {
+		// The nodes that would be dispatchers in place of the suspects may be others.
+		if n != other && !slices.Contains(dispatchers, n.settings.Peer) {
+			report(n.settings.Peer, peer.StateSuspect)
+		}
+	}
+	assertServes(c, other, true)
+	s := connect(c, other, "tickets")
+	assertAnswers(s, "WRITE a 1", nil, "I")
+	report(dispatchers[0], peer.StateDead)
+	assertServes(c, other, true)
+	report(dispatchers[0], peer.StateAlive)
+	assertServes(c, other, false)
+	assertAnswers(s, "READ a", []string{"1"}, "I")
+	assertNoViolations(c, d)
+}
+
 // TestVisibleShare guards against overload of a server by nodes that are partitioned from the fleet and each take a full
 // dispatcher's share.
 func TestVisibleShare(t *testing.T) {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -65,6 +65,8 @@
 	members []peer.Update
 	// knownMembers counts all known members, including those that are considered dead.
 	knownMembers int
+	// suspects holds the members that do not answer.
+	suspects map[string]bool
 	// membersRead is set once the member table was read, or memberListTimeout has passed.
 	membersRead bool
 	// eraBegun holds a value after the store has begun a new era.
@@ -139,8 +141,9 @@
 		clock: tick.NewClock(), start: time.Now(),
 		members:    []peer.Update{{Name: s.Peer, Zone: s.Zone, Address: s.Peer, Weight: s.CPUWeight()}},
 		lostTables: map[string]bool{}, eraBegun: make(chan struct{}, 1),
-		assignments: map[string]assignment{}, dispatchers: peer.NewDispatchers(), inboundStreams: map[*inboundStream]bool{},
-		lanes: map[string]*traffic.Lane{}, listedServers: map[string]listedServer{}, limits: map[string]caller.LimitsUpdated{},
+		assignments: map[string]assignment{}, suspects: map[string]bool{}, dispatchers: peer.NewDispatchers(),
+		inboundStreams: map[*inboundStream]bool{},
+		lanes:          map[string]*traffic.Lane{}, listedServers: map[string]listedServer{}, limits: map[string]caller.LimitsUpdated{},
 		views: map[string]upstream.GroupView{},
 	}
 	for _, o := range opts {
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -57,7 +57,7 @@
 // connections from each, and a few of each zone otherwise. n.mu must be held.
 func (n *Node) servingNodes(g bundle.Group) []string {
 	if len(n.members)*connectionsPerNode > g.ConnectionsPerServer {
-		if names := n.dispatchers.Nodes(g.Name); len(names) > 0 {
+		if names := n.dispatchers.Serving(g.Name, n.isSuspect); len(names) > 0 {
 			return names
 		}
 	}
@@ -68,6 +68,11 @@
 	return names
 }
 
+// isSuspect reports whether a member does not answer. n.mu must be held.
+func (n *Node) isSuspect(name string) bool {
+	return n.suspects[name]
+}
+
 // nearestFirst sorts the nodes that serve a group by their distance from this node. Nodes at the same distance are ordered by a
 // rendezvous hash that differs between nodes, which spreads the load. n.mu must be held.
 func (n *Node) nearestFirst(names []string) []string {
@@ -105,6 +110,11 @@
 		groups = append(groups, g.Name)
 	}
 	n.dispatchers.Update(n.members, groups)
+	n.assignGroups(b)
+}
+
+// assignGroups decides for each group which nodes serve it. n.mu must be held.
+func (n *Node) assignGroups(b bundle.Bundle) {
 	for _, g := range b.Groups {
 		names := n.servingNodes(g)
 		if slices.Equal(names, n.assignments[g.Name].nodes) {
@@ -115,12 +125,21 @@
 			n.ensureLane(g.Name)
 		}
 		n.assignments[g.Name] = assignment{nodes: names, local: local}
-		n.thread.Post(upstream.GroupServed{Group: g.Name, Served: local, Promoters: names})
+		n.thread.Post(upstream.GroupServed{Group: g.Name, Served: local, Promoters: n.promoters(names)})
 		n.relay.Post(dispatcher.DispatchersAssigned{Group: g.Name, Peers: n.nearestFirst(slices.DeleteFunc(slices.Clone(names),
 			func(name string) bool { return name == n.settings.Peer }))})
 	}
 }
 
+// promoters returns the nodes that may promote a group's servers: those that serve it, without suspects unless all are.
+// n.mu must be held.
+func (n *Node) promoters(names []string) []string {
+	if trusted := slices.DeleteFunc(slices.Clone(names), n.isSuspect); len(trusted) > 0 {
+		return trusted
+	}
+	return names
+}
+
 // acceptJobStream returns the handlers of a stream on which another node forwards requests to this one.
 func (n *Node) acceptJobStream(a peerlink.ReplySender) peerlink.JobHandlers {
 	r := &inboundStream{node: n, answers: a, sessions: map[caller.SessionID]*platform.Session{}}
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -52,6 +52,11 @@
 func (n *Node) updateMembers(a peer.MembersChanged) {
 	n.mu.Lock()
 	n.members = a.Members
+	for _, u := range a.Members {
+		if u.State == peer.StateAlive {
+			delete(n.suspects, u.Name)
+		}
+	}
 	n.knownMembers = a.Known
 	n.membersRead = n.membersRead || a.VMsListed
 	n.mu.Unlock()
@@ -59,6 +64,23 @@
 	n.updateShares()
 }
 
+// updateMember records whether a member answers. Where all dispatchers of a group have become suspect, or one is trusted again, the
+// group is assigned anew. A member that has just been declared dead stays a suspect until the list of members lacks it.
+func (n *Node) updateMember(a peer.MemberChanged) {
+	b := n.routes.Load().bundle
+	n.mu.Lock()
+	if a.State == peer.StateSuspect || a.State == peer.StateDead {
+		n.suspects[a.Name] = true
+	} else {
+		delete(n.suspects, a.Name)
+	}
+	if n.membersRead {
+		n.assignGroups(b)
+	}
+	n.mu.Unlock()
+	n.updateLimits()
+}
+
 // updateShares recomputes which groups this node serves, and its share of each server.
 func (n *Node) updateShares() {
 	n.updateAssignments(n.routes.Load().bundle)
--- a/internal/peer/dispatchers.go
+++ b/internal/peer/dispatchers.go
@@ -16,6 +16,8 @@
 type Dispatchers struct {
 	members map[string]Update
 	groups  *table.Table[string, groupDispatchers]
+	// standIns chooses among the members that are not suspect. It is nil until it is needed.
+	standIns *Dispatchers
 	// score returns the weighted rendezvous hash of a member for a group.
 	score func(u Update, group string) float64
 }
@@ -147,3 +149,23 @@
 	}
 	return names
 }
+
+// Serving returns the names of the nodes that serve a group: its dispatchers and, while all of them are suspect, also those that the
+// group would have without the suspects. A node that is cut off with the group's servers thus serves the group itself.
+func (d *Dispatchers) Serving(group string, suspect func(name string) bool) []string {
+	names := d.Nodes(group)
+	if len(names) == 0 || slices.ContainsFunc(names, func(name string) bool { return !suspect(name) }) {
+		return names
+	}
+	trusted := make([]Update, 0, len(d.members))
+	for name, u := range d.members {
+		if !suspect(name) {
+			trusted = append(trusted, u)
+		}
+	}
+	if d.standIns == nil {
+		d.standIns = NewDispatchers()
+	}
+	d.standIns.Update(trusted, []string{group})
+	return append(names, d.standIns.Nodes(group)...)
+}
--- a/internal/peer/dispatchers_test.go
+++ b/internal/peer/dispatchers_test.go
@@ -136,3 +136,37 @@
 		})
 	})
 }
+
+// TestServing guards against callers that are refused at a node which reaches a group's servers, but none of its dispatchers.
+func TestServing(t *testing.T) {
+	const group = "g"
+	d := NewDispatchers()
+	members := zonedMembers(9, "a", "b", "c")
+	d.Update(members, []string{group})
+	dispatchers := d.Nodes(group)
+	suspects := func(names ...string) func(string) bool {
+		return func(name string) bool { return slices.Contains(names, name) }
+	}
+	t.Run("dispatchers serve while one of them is trusted", func(t *testing.T) {
+		qt.Assert(t, d.Serving(group, suspects(dispatchers[1:]...)), qt.DeepEquals, dispatchers)
+	})
+	t.Run("others serve too while none is", func(t *testing.T) {
+		got := d.Serving(group, suspects(dispatchers...))
+		qt.Assert(t, got[:len(dispatchers)], qt.DeepEquals, dispatchers)
+		want := NewDispatchers()
+		want.Update(slices.DeleteFunc(slices.Clone(members), func(u Update) bool { return slices.Contains(dispatchers, u.Name) }),
+			[]string{group})
+		qt.Assert(t, got[len(dispatchers):], qt.DeepEquals, want.Nodes(group))
+	})
+	t.Run("a node that trusts itself alone serves", func(t *testing.T) {
+		self := members[4].Name
+		if slices.Contains(dispatchers, self) {
+			self = members[5].Name
+		}
+		got := d.Serving(group, func(name string) bool { return name != self })
+		qt.Assert(t, got, qt.DeepEquals, append(slices.Clone(dispatchers), self))
+	})
+	t.Run("and no longer once a dispatcher is trusted", func(t *testing.T) {
+		qt.Assert(t, d.Serving(group, suspects()), qt.DeepEquals, dispatchers)
+	})
+}
