A handshake packet that a starting peer has lost costs no second

Nodes start one after the other; the first packet to one that is still dark is lost, and TCP sends it again only after 1 s.

Change: traffic.Dial, which all connections between machines use, repeats an attempt that gets no answer after 250 ms, and each further one after a fifth longer; 2 s in all. Weighed: attempts side by side (an extra connection at each server that is slow to accept); dialing anew when the peer is heard (only nodes are heard).

--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -312,7 +312,7 @@
 
 // dial opens a connection to a peer and one stream in it. The returned function closes both.
 func (l *Link) dial(ctx context.Context, address string) (net.Conn, func(), error) {
-	conn, err := traffic.Dialer().DialContext(ctx, "tcp", address)
+	conn, err := traffic.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/traffic/conns.go
+++ b/internal/traffic/conns.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -19,17 +20,43 @@
 	// connection is closed after keepAliveProbes probes without an answer.
 	keepAliveIdle   = 2 * time.Second
 	keepAliveProbes = 2
+	// firstDialAttempt is how long the first attempt to open a connection may take, and dialAttemptGrowthTenths how much longer each
+	// further one, in tenths. TCP itself sends a lost handshake packet again only after a second, and a peer that has just started has
+	// lost the first one. The longest round trip between regions is shorter than a few attempts.
+	firstDialAttempt        = 250 * time.Millisecond
+	dialAttemptGrowthTenths = 12
+	// maxDialTime bounds all attempts together.
+	maxDialTime = 2 * time.Second
 )
 
 // keepAliveConfig makes the operating system detect that the peer of an idle connection is unreachable.
 var keepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle / 2, Count: keepAliveProbes}
 
-// Dialer returns a dialer for connections that are closed when the peer becomes unreachable.
-func Dialer() *net.Dialer {
-	return &net.Dialer{
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial opens a connection that is closed when the peer becomes unreachable. An attempt that gets no answer is repeated until the
+// context ends, or for maxDialTime. It returns the error of the last attempt.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	d := &net.Dialer{
 		KeepAliveConfig: keepAliveConfig,
 		Control:         func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c) },
 	}
+	return dialAgain(ctx, d.DialContext, network, address)
+}
+
+func dialAgain(ctx context.Context, dial dialFunc, network, address string) (net.Conn, error) {
+	ctx, stop := context.WithTimeout(ctx, maxDialTime)
+	defer stop()
+	for timeout := firstDialAttempt; ; timeout = timeout * dialAttemptGrowthTenths / 10 {
+		attempt, end := context.WithTimeout(ctx, timeout)
+		conn, err := dial(attempt, network, address)
+		unanswered := attempt.Err() != nil
+		end()
+		if err == nil || !unanswered || ctx.Err() != nil {
+			return conn, err
+		}
+	}
 }
 
 // EnableDeadPeerDetection makes an accepted connection close when the peer becomes unreachable.
--- a/internal/traffic/relay.go
+++ b/internal/traffic/relay.go
@@ -11,7 +11,7 @@
 	"buckthornport.example/buckthornport/internal/tick"
 )
 
-// linkDialTimeout bounds the opening of a link to a dispatcher. It allows for one retransmission of a lost handshake packet.
+// linkDialTimeout bounds the opening of a link to a dispatcher. It allows for several attempts.
 const linkDialTimeout = 1200 * time.Millisecond
 
 // Relay runs the traffic that a node forwards to dispatchers.
