--- a/internal/platform/mirror_rows.go
+++ b/internal/platform/mirror_rows.go
@@ -171,8 +171,8 @@
 	return c
 }
 
-// batchDelay returns the time until the next read after one that returned changes. It doubles with each read of a burst, so that the
-// first changes are known at once.
+// batchDelay returns the time until the next read after one that returned changes. It doubles with each read of a burst, so that
+// the first changes are known at once.
 func (c Copy) batchDelay() time.Duration {
 	return min(minReadInterval<<min(c.BurstReads, maxBurstDoublings), c.Rules.BatchDelay)
 }
--- a/internal/traffic/dial_test.go
+++ b/internal/traffic/dial_test.go
@@ -60,8 +60,8 @@
 	})
 }
 
-// TestDial guards against nodes that come back one after the other and wait for each other for a second, because the first packet to a
-// node that is still down is lost.
+// TestDial guards against nodes that come back one after the other and wait for each other for a second, because the first packet
+// to a node that is still down is lost.
 func TestDial(t *testing.T) {
 	for _, down := range []time.Duration{0, 50, 170, 300, 600, 900, 1200} {
 		down *= time.Millisecond
