What waits for a server that answers nothing is refused at once

Ruled out: a suspicion (there is no replica to promote on that side).

Change: the time for which requests have waited while none has left their queue counts as the expected wait too. One request at a time is let in to find out when the stall ends. Without a primary nothing changes: the next one takes up all. Weighed: the slots' own state (a queue waits for more than slots); leadership evidence (old on a calm night as well).

--- a/internal/caller/crest_test.go
+++ b/internal/caller/crest_test.go
@@ -28,6 +28,10 @@
 	// arrived when the crest had lasted for crestOnset.
 	inTime       int
 	refusedAfter []time.Duration
+	// answersFrom is the time before which the primary answers nothing; a request sent while it does so ends with its link. Those
+	// that arrive before countFrom count in neither of the above.
+	answersFrom time.Duration
+	countFrom   time.Duration
 }
 
 var crestClass = bundle.Class{Name: "tickets", DeadlineMS: 2500, ObjectiveMS: 400}
@@ -37,6 +41,8 @@
 	crestOnset       = 300 * time.Millisecond
 	crestSlots       = 4
 	crestServiceTime = 20 * time.Millisecond
+	// crestCapacity is how many requests a second the primary can serve.
+	crestCapacity = crestSlots / (float64(crestServiceTime) / float64(time.Second))
 	// maxRefusalAge is a quarter of the class's objective: a caller that is refused by then has time for another node.
 	maxRefusalAge = 100 * time.Millisecond
 )
@@ -80,17 +86,18 @@
 	case caller.Open:
 		f.After(12*time.Millisecond, func() { f.step(caller.ConnOpened{Conn: a.Conn}) })
 	case caller.Send:
-		f.After(time.Duration(f.random.ExpFloat64()*float64(crestServiceTime)), func() {
+		stalled := max(0, f.answersFrom-f.Now())
+		f.After(stalled+time.Duration(f.random.ExpFloat64()*float64(crestServiceTime)), func() {
 			f.step(caller.Replied{Conn: a.Conn, Request: a.Request, Position: session.Position{Term: 1, Offset: 1}})
 		})
 	case caller.ConfirmLeadership:
 		f.After(2*time.Millisecond, func() { f.step(caller.LeadershipConfirmed{Confirmation: a.Confirmation, Term: 1}) })
 	case caller.Release:
-		if f.Now()-f.arrived[a.Session] <= time.Duration(crestClass.ObjectiveMS)*time.Millisecond {
+		if f.arrived[a.Session] >= f.countFrom && f.Now()-f.arrived[a.Session] <= time.Duration(crestClass.ObjectiveMS)*time.Millisecond {
 			f.inTime++
 		}
 	case caller.Refuse:
-		if f.arrived[a.Session] >= crestBegins+crestOnset {
+		if f.arrived[a.Session] >= max(f.countFrom, crestBegins+crestOnset) {
 			f.refusedAfter = append(f.refusedAfter, f.Now()-f.arrived[a.Session])
 		}
 	}
@@ -116,11 +123,10 @@
 
 // playCrest offers half of what the primary can serve, then several times as much for a while, and half of it again.
 func playCrest(c *qt.C, p caller.Policy, times float64) *crest {
-	const capacity = crestSlots / (float64(crestServiceTime) / float64(time.Second))
 	f := newCrest(c, p)
-	f.offer(capacity/2, crestBegins)
-	f.offer(capacity*times, 8*time.Second)
-	f.offer(capacity/2, 11*time.Second)
+	f.offer(crestCapacity/2, crestBegins)
+	f.offer(crestCapacity*times, 8*time.Second)
+	f.offer(crestCapacity/2, 11*time.Second)
 	f.Run(15 * time.Second)
 	slices.Sort(f.refusedAfter)
 	c.Logf("%s, %.0f times: %d of %d in time, %d refused, the last percent after %v", p.Name, times, f.inTime, f.sessions,
@@ -130,10 +136,44 @@
 
 // refusalAge returns the age that 99% of the refused requests did not reach.
 func (f *crest) refusalAge() time.Duration {
+	return f.refusalAgePercentile(99)
+}
+
+func (f *crest) refusalAgePercentile(percent int) time.Duration {
 	if len(f.refusedAfter) == 0 {
 		return 0
 	}
-	return f.refusedAfter[len(f.refusedAfter)*99/100]
+	return f.refusedAfter[len(f.refusedAfter)*percent/100]
+}
+
+// playStall offers half of what the primary can serve. For four seconds the primary takes requests and answers none.
+func playStall(c *qt.C, p caller.Policy) (stalled, after *crest) {
+	const answersFrom = crestBegins + 4*time.Second
+	for _, countFrom := range []time.Duration{crestBegins + crestOnset, answersFrom} {
+		f := newCrest(c, p)
+		f.countFrom = countFrom
+		f.offer(crestCapacity/2, crestBegins)
+		f.answersFrom = answersFrom
+		f.offer(crestCapacity/2, answersFrom+3*time.Second)
+		f.Run(15 * time.Second)
+		slices.Sort(f.refusedAfter)
+		c.Logf("%s, from %v: %d in time, %d refused, nine of ten after %v", p.Name, countFrom, f.inTime, len(f.refusedAfter),
+			f.refusalAgePercentile(90))
+		stalled, after = after, f
+	}
+	return stalled, after
+}
+
+// TestStall answers a primary that is cut off from its replicas, so that requests wait there while nothing is answered: those that
+// can't be served are refused while their callers can still go elsewhere, but for the few that find out when the stall has ended.
+// Then all are served.
+func TestStall(t *testing.T) {
+	c := qt.New(t)
+	stalled, after := playStall(c, caller.Quickest(func(string) int { return 0 }))
+	fifo, fifoAfter := playStall(c, caller.FIFO())
+	c.Check(stalled.refusalAgePercentile(90) <= maxRefusalAge, qt.IsTrue)
+	c.Check(fifo.refusalAgePercentile(90) <= maxRefusalAge, qt.IsFalse)
+	c.Check(after.inTime >= fifoAfter.inTime, qt.IsTrue)
 }
 
 // admitUntilDeadline admits requests that could be sent before their deadline, although they are refused at their queue timeout.
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -38,11 +38,28 @@
 	departureWeight = 0.03
 )
 
+// maxStallRetry bounds the time to return that a refused caller is told because nothing leaves a queue. Nobody knows when it will.
+const maxStallRetry = time.Second
+
 // departureStats is the row of one queue: the weighted mean interval between departures while other requests waited in it.
 type departureStats struct {
 	lastAt   time.Duration
 	interval time.Duration
 	nonEmpty bool
+	// waitingSince is the time since which requests have waited and none has left, also if all of those before have given up, and zero
+	// if none waits. joinedAt is when the last one joined.
+	waitingSince time.Duration
+	joinedAt     time.Duration
+}
+
+// withJoin returns the row after a request has joined the queue, which waits for at most the given time. After a pause of twice
+// that, what kept earlier requests waiting may be over.
+func (d departureStats) withJoin(now, patience time.Duration) departureStats {
+	if d.waitingSince == 0 || now-d.joinedAt > 2*patience {
+		d.waitingSince = now
+	}
+	d.joinedAt = now
+	return d
 }
 
 // withDeparture returns the row after a request left the queue. nonEmpty is set if others still wait in it.
@@ -57,6 +74,10 @@
 	}
 	d.lastAt = now
 	d.nonEmpty = nonEmpty
+	d.waitingSince = 0
+	if nonEmpty {
+		d.waitingSince = now
+	}
 	return d
 }
 
@@ -74,13 +95,20 @@
 		return
 	}
 	q := l.policy.SelectQueue(r, l.slowClass(r))
-	if wait := l.expectedWait(q); !l.policy.Admit(wait, l.queuedUntil(r)-now) {
+	patience := l.queuedUntil(r) - now
+	wait, stall := l.expectedWait(q), l.stall(now, q)
+	if !l.policy.Admit(max(wait, stall), patience) {
+		back := max(wait, min(stall, maxStallRetry))
 		// The random part keeps those refused at a crest from returning all at once.
 		l.refuse(r, Refusal{
-			Reason: ReasonOverload, Retry: max(wait/2+l.jitter(wait), time.Millisecond), Detail: fmt.Sprintf("expected wait %v", wait),
+			Reason: ReasonOverload, Retry: max(back/2+l.jitter(back), time.Millisecond),
+			Detail: fmt.Sprintf("expected wait %v, nothing sent for %v", wait, stall),
 		})
 		return
 	}
+	d, _ := l.departures.Get(int(q))
+	l.departures.Put(int(q), d.withJoin(now, patience))
+	l.departures.TakeDirty()
 	l.queues[q] = append(l.queues[q], r.ID)
 }
 
@@ -109,6 +137,17 @@
 	return d.interval * time.Duration(len(l.queues[q]))
 }
 
+// stall returns how long requests have waited in a queue while none has left it. A request that joins is likely to wait as long
+// again. It is zero while the queue is empty, so that one request finds out whether the stall has ended, and without a primary: the
+// next one takes up all that wait.
+func (l *Lane) stall(now time.Duration, q QueueID) time.Duration {
+	d, _ := l.departures.Get(int(q))
+	if len(l.queues[q]) == 0 || d.waitingSince == 0 || l.leader() == "" {
+		return 0
+	}
+	return now - d.waitingSince
+}
+
 // dispatchQueues starts the requests that have a slot and a connection, queue by queue in order of priority.
 func dispatchQueues(l *Lane, now time.Duration) {
 	l.requests.TakeDirty()
--- a/internal/peer/dispatchers.go
+++ b/internal/peer/dispatchers.go
@@ -150,8 +150,8 @@
 	return names
 }
 
-// Serving returns the names of the nodes that serve a group: its dispatchers and, while all of them are suspect, also those that the
-// group would have without the suspects. A node that is cut off with the group's servers thus serves the group itself.
+// Serving returns the names of the nodes that serve a group: its dispatchers and, while all of them are suspect, also those that
+// the group would have without the suspects. A node that is cut off with the group's servers thus serves the group itself.
 func (d *Dispatchers) Serving(group string, suspect func(name string) bool) []string {
 	names := d.Nodes(group)
 	if len(names) == 0 || slices.ContainsFunc(names, func(name string) bool { return !suspect(name) }) {
