Only stand-ins leave suspects out of a group's promoters

Cause, by reading: whenever a group was assigned anew, its promoters were listed without the members that were suspect just then; while the serving nodes stay the same nothing is posted again, so a member that is trusted later stayed left out, and the others thought themselves a rank nearer to promoting. The lease keeps orders apart all the same.

Change: Serving returns stand-ins separately. They are the promoters while there are any, and all serving nodes otherwise.

Measured: TestServing with the separate result, TestDispatchersSuspect and TestDispatcherLost pass. Not shown by a run of the code before.

--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -54,18 +54,23 @@
 }
 
 // servingNodes returns the names of the nodes that serve a group: all members if the group's servers allow connectionsPerNode
-// connections from each, and a few of each zone otherwise. n.mu must be held.
-func (n *Node) servingNodes(g bundle.Group) []string {
+// connections from each, and a few of each zone otherwise. It also returns those of them that may promote the group's servers: all,
+// or the stand-ins if there are any. n.mu must be held.
+func (n *Node) servingNodes(g bundle.Group) (names, promoters []string) {
 	if len(n.members)*connectionsPerNode > g.ConnectionsPerServer {
-		if names := n.dispatchers.Serving(g.Name, n.isSuspect); len(names) > 0 {
-			return names
+		dispatchers, standIns := n.dispatchers.Serving(g.Name, n.isSuspect)
+		switch {
+		case len(standIns) > 0:
+			return slices.Concat(dispatchers, standIns), standIns
+		case len(dispatchers) > 0:
+			return dispatchers, dispatchers
 		}
 	}
-	names := make([]string, 0, len(n.members))
+	names = make([]string, 0, len(n.members))
 	for _, u := range n.members {
 		names = append(names, u.Name)
 	}
-	return names
+	return names, names
 }
 
 // isSuspect reports whether a member does not answer. n.mu must be held.
@@ -116,7 +121,7 @@
 // assignGroups decides for each group which nodes serve it. n.mu must be held.
 func (n *Node) assignGroups(b bundle.Bundle) {
 	for _, g := range b.Groups {
-		names := n.servingNodes(g)
+		names, promoters := n.servingNodes(g)
 		if slices.Equal(names, n.assignments[g.Name].nodes) {
 			continue
 		}
@@ -125,21 +130,12 @@
 			n.ensureLane(g.Name)
 		}
 		n.assignments[g.Name] = assignment{nodes: names, local: local}
-		n.thread.Post(upstream.GroupServed{Group: g.Name, Served: local, Promoters: n.promoters(names)})
+		n.thread.Post(upstream.GroupServed{Group: g.Name, Served: local, Promoters: promoters})
 		n.relay.Post(dispatcher.DispatchersAssigned{Group: g.Name, Peers: n.nearestFirst(slices.DeleteFunc(slices.Clone(names),
 			func(name string) bool { return name == n.settings.Peer }))})
 	}
 }
 
-// promoters returns the nodes that may promote a group's servers: those that serve it, without suspects unless all are.
-// n.mu must be held.
-func (n *Node) promoters(names []string) []string {
-	if trusted := slices.DeleteFunc(slices.Clone(names), n.isSuspect); len(trusted) > 0 {
-		return trusted
-	}
-	return names
-}
-
 // acceptJobStream returns the handlers of a stream on which another node forwards requests to this one.
 func (n *Node) acceptJobStream(a peerlink.ReplySender) peerlink.JobHandlers {
 	r := &inboundStream{node: n, answers: a, sessions: map[caller.SessionID]*platform.Session{}}
--- a/internal/peer/dispatchers.go
+++ b/internal/peer/dispatchers.go
@@ -150,12 +150,12 @@
 	return names
 }
 
-// Serving returns the names of the nodes that serve a group: its dispatchers and, while all of them are suspect, also those that
-// the group would have without the suspects. A node that is cut off with the group's servers thus serves the group itself.
-func (d *Dispatchers) Serving(group string, suspect func(name string) bool) []string {
-	names := d.Nodes(group)
-	if len(names) == 0 || slices.ContainsFunc(names, func(name string) bool { return !suspect(name) }) {
-		return names
+// Serving returns the names of the nodes that serve a group: its dispatchers and, while all of them are suspect, as stand-ins those
+// that would be its dispatchers without the suspects. A node that is cut off with the group's servers thus serves the group itself.
+func (d *Dispatchers) Serving(group string, suspect func(name string) bool) (dispatchers, standIns []string) {
+	dispatchers = d.Nodes(group)
+	if len(dispatchers) == 0 || slices.ContainsFunc(dispatchers, func(name string) bool { return !suspect(name) }) {
+		return dispatchers, nil
 	}
 	trusted := make([]Update, 0, len(d.members))
 	for name, u := range d.members {
@@ -167,5 +167,5 @@
 		d.standIns = NewDispatchers()
 	}
 	d.standIns.Update(trusted, []string{group})
-	return append(names, d.standIns.Nodes(group)...)
+	return dispatchers, d.standIns.Nodes(group)
 }
--- a/internal/peer/dispatchers_test.go
+++ b/internal/peer/dispatchers_test.go
@@ -147,26 +147,29 @@
 	suspects := func(names ...string) func(string) bool {
 		return func(name string) bool { return slices.Contains(names, name) }
 	}
-	t.Run("dispatchers serve while one of them is trusted", func(t *testing.T) {
-		qt.Assert(t, d.Serving(group, suspects(dispatchers[1:]...)), qt.DeepEquals, dispatchers)
+	assertServing := func(t *testing.T, suspect func(string) bool, wantStandIns []string) {
+		t.Helper()
+		got, standIns := d.Serving(group, suspect)
+		qt.Check(t, got, qt.DeepEquals, dispatchers)
+		qt.Check(t, standIns, qt.DeepEquals, wantStandIns)
+	}
+	t.Run("dispatchers alone serve while one of them is trusted", func(t *testing.T) {
+		assertServing(t, suspects(dispatchers[1:]...), nil)
 	})
 	t.Run("others serve too while none is", func(t *testing.T) {
-		got := d.Serving(group, suspects(dispatchers...))
-		qt.Assert(t, got[:len(dispatchers)], qt.DeepEquals, dispatchers)
-		want := NewDispatchers()
-		want.Update(slices.DeleteFunc(slices.Clone(members), func(u Update) bool { return slices.Contains(dispatchers, u.Name) }),
+		others := NewDispatchers()
+		others.Update(slices.DeleteFunc(slices.Clone(members), func(u Update) bool { return slices.Contains(dispatchers, u.Name) }),
 			[]string{group})
-		qt.Assert(t, got[len(dispatchers):], qt.DeepEquals, want.Nodes(group))
+		assertServing(t, suspects(dispatchers...), others.Nodes(group))
 	})
 	t.Run("a node that trusts itself alone serves", func(t *testing.T) {
 		self := members[4].Name
 		if slices.Contains(dispatchers, self) {
 			self = members[5].Name
 		}
-		got := d.Serving(group, func(name string) bool { return name != self })
-		qt.Assert(t, got, qt.DeepEquals, append(slices.Clone(dispatchers), self))
+		assertServing(t, func(name string) bool { return name != self }, []string{self})
 	})
 	t.Run("and no longer once a dispatcher is trusted", func(t *testing.T) {
-		qt.Assert(t, d.Serving(group, suspects()), qt.DeepEquals, dispatchers)
+		assertServing(t, suspects(), nil)
 	})
 }
