Logs with a very long line are explained, and one failover by its term

Change: such a line is skipped; with a term, only the records of that failover are explained, by the rule that the platform's records are chosen with.

Nothing that nodes run.

--- a/cmd/buckthornport/explain.go
+++ b/cmd/buckthornport/explain.go
@@ -66,7 +66,7 @@
 
 type explainFailoverCommand struct {
 	Group    string   `arg:"" help:"Database group."`
-	Term     uint64   `arg:"" optional:"" help:"Term that the failover led to; the latest, if not given."`
+	Term     uint64   `arg:"" optional:"" help:"Term that the failover led to. If not given: the latest, or all of them with --logs."`
 	Platform string   `help:"Read the audit objects of all nodes from the platform at IP:PORT."`
 	Status   []string `help:"Read the latest records of the nodes with these status addresses."`
 	Logs     []string `type:"path" help:"Read log files of nodes instead; - stands for standard input."`
@@ -76,7 +76,7 @@
 func (c explainFailoverCommand) Run(env *environment) error {
 	if len(c.Logs) > 0 {
 		files := slices.DeleteFunc(slices.Clone(c.Logs), func(f string) bool { return filepath.Base(f) == "-" })
-		return explainLogs(files, func(rs []operator.Record) []string { return operator.ExplainFailover(rs, c.Group) })
+		return explainLogs(files, func(rs []operator.Record) []string { return operator.ExplainFailover(rs, c.Group, c.Term) })
 	}
 	a := auditCommand{Platform: c.Platform, Status: c.Status, Since: 365 * 24 * time.Hour, Group: c.Group}
 	rs, err := a.collect(env.ctx)
@@ -91,8 +91,7 @@
 	}
 	printed := 0
 	for _, r := range rs {
-		precedes := r.Kind == operator.KindSuspicion && r.Term+1 == term
-		if precedes || r.Term == term {
+		if r.PartOfFailover(term) {
 			fmt.Println(r.Sentence())
 			printed++
 		}
--- a/internal/operator/logs.go
+++ b/internal/operator/logs.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -12,35 +13,38 @@
 )
 
 const (
-	// maxLogLineBytes bounds the length of a log line. Reading fails on a longer line.
+	// maxLogLineBytes bounds the length of a log line. A longer line is skipped.
 	maxLogLineBytes = 1 << 20
 	// relatedWindow is how far in time from a request's last record other records count as related. It covers the length of a
 	// failover.
 	relatedWindow = 4 * time.Second
 )
 
-// ReadLogs returns the records in the log lines of any number of nodes, oldest first. It skips lines without a record and any
-// text before a line's JSON. Because nodes' clocks differ, it shifts their times so that the records of a group follow the
-// order of its terms.
+// ReadLogs returns the records in the log lines of any number of nodes, oldest first. It skips lines without a record, lines of over
+// 1 MiB and any text before a line's JSON. Because nodes' clocks differ, it shifts their times so that the records of a group follow
+// the order of its terms. The error is that of the reader.
 func ReadLogs(r io.Reader) ([]Record, error) {
 	var rs []Record
-	lines := bufio.NewScanner(r)
-	lines.Buffer(nil, maxLogLineBytes)
-	for lines.Scan() {
-		i := bytes.IndexByte(lines.Bytes(), '{')
+	lines := bufio.NewReader(r)
+	for {
+		line, err := readLogLine(lines)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, err
+		}
+		i := bytes.IndexByte(line, '{')
 		if i < 0 {
 			continue
 		}
 		var l struct {
 			Record *Record `json:"record"`
 		}
-		if err := json.Unmarshal(lines.Bytes()[i:], &l); err == nil && l.Record != nil {
+		if err := json.Unmarshal(line[i:], &l); err == nil && l.Record != nil {
 			rs = append(rs, *l.Record)
 		}
 	}
-	if err := lines.Err(); err != nil {
-		return nil, err
-	}
 	offsets := clockOffsets(rs)
 	slices.SortStableFunc(rs, func(a, b Record) int {
 		return a.Time.Add(offsets[a.Node]).Compare(b.Time.Add(offsets[b.Node]))
@@ -48,6 +52,27 @@
 	return rs, nil
 }
 
+// readLogLine returns the next line without its end, or an empty one in place of a line over maxLogLineBytes.
+func readLogLine(r *bufio.Reader) ([]byte, error) {
+	var line []byte
+	tooLong := false
+	for {
+		part, more, err := r.ReadLine()
+		if err != nil {
+			return nil, err
+		}
+		tooLong = tooLong || len(line)+len(part) > maxLogLineBytes
+		if tooLong {
+			line = nil
+		} else {
+			line = append(line, part...)
+		}
+		if !more {
+			return line, nil
+		}
+	}
+}
+
 // clockOffsets returns how much to add to each node's times so that no node observes a term before the node that ordered its
 // promotion.
 func clockOffsets(rs []Record) map[string]time.Duration {
@@ -158,15 +183,26 @@
 	return out
 }
 
-// ExplainFailover returns sentences about a group's changes of primary, with what led to them and what followed.
-func ExplainFailover(rs []Record, group string) []string {
+// PartOfFailover reports whether a record belongs to the failover that led to a term: it is of that term, or a suspicion of the
+// primary of the term before.
+func (r Record) PartOfFailover(term uint64) bool {
+	return r.Term == term || r.Kind == KindSuspicion && r.Term+1 == term
+}
+
+// ExplainFailover returns sentences about a group's changes of primary, with what led to them and what followed. With a term other
+// than zero they are about the failover that led to that term.
+func ExplainFailover(rs []Record, group string, term uint64) []string {
 	var out []string
 	for _, r := range rs {
-		if r.Group == group && r.Request == "" {
+		if r.Group == group && r.Request == "" && (term == 0 || r.PartOfFailover(term)) {
 			out = append(out, r.Sentence())
 		}
 	}
-	if len(out) == 0 {
+	switch {
+	case len(out) > 0:
+	case term != 0:
+		out = append(out, fmt.Sprintf("No log record is about term %d of group %s.", term, group))
+	default:
 		out = append(out, fmt.Sprintf("No log record names group %s.", group))
 	}
 	return out
