--- a/pkg/bundle/bundle_test.go
+++ b/pkg/bundle/bundle_test.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/ed25519"
 	"encoding/base64"
+	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -173,6 +175,85 @@
 	c.Assert(bundle.Diff(before, before), qt.HasLen, 0)
 }
 
+// eachField calls f for each field of a value, with a name for it. f may change the field; the change is taken back.
+func eachField(name string, v reflect.Value, f func(name string, v reflect.Value)) {
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			eachField(name+"."+v.Type().Field(i).Name, v.Field(i), f)
+		}
+	case reflect.Slice:
+		for i := range v.Len() {
+			eachField(fmt.Sprintf("%s[%d]", name, i), v.Index(i), f)
+		}
+	default:
+		old := reflect.New(v.Type()).Elem()
+		old.Set(v)
+		f(name, v)
+		v.Set(old)
+	}
+}
+
+// changeField changes the value of a field.
+func changeField(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(v.String() + "x")
+	case reflect.Bool:
+		v.SetBool(!v.Bool())
+	case reflect.Int:
+		v.SetInt(v.Int() + 1)
+	case reflect.Uint64:
+		v.SetUint(v.Uint() + 1)
+	default:
+		panic("no change of a " + v.Kind().String())
+	}
+}
+
+// TestDiffNamesEachChange guards against a change that an operator signs and rolls out without having been told of it.
+func TestDiffNamesEachChange(t *testing.T) {
+	class := func() bundle.Class {
+		return bundle.Class{Name: "c", Match: bundle.Match{Verbs: []string{"SELECT"}, Tables: []string{"t"}}}
+	}
+	full := func() bundle.Bundle {
+		return bundle.Bundle{
+			Deployment: "d", Version: 1, Zones: bundle.Zones{{Name: "z", Region: "r"}},
+			Groups: []bundle.Group{{
+				Name: "g", Servers: []bundle.Server{{Name: "s", Zone: "z", Address: "10.0.0.1:5432"}}, Classes: []bundle.Class{class()},
+			}},
+			Callers: []bundle.Caller{{User: "u", Databases: []string{"d"}}}, Keys: []bundle.Key{{Name: "k"}},
+			Routes: []bundle.Route{{Name: "r", Database: "d", Group: "g", Class: class()}},
+		}
+	}
+	after := full()
+	eachField("Bundle", reflect.ValueOf(&after).Elem(), func(name string, v reflect.Value) {
+		if name == "Bundle.Version" {
+			return // each bundle has another one
+		}
+		t.Run(name, func(t *testing.T) {
+			changeField(v)
+			qt.Assert(t, bundle.Diff(full(), after), qt.Not(qt.HasLen), 0)
+		})
+	})
+	t.Run("two changes of a server", func(t *testing.T) {
+		after := full()
+		after.Groups[0].Servers[0] = bundle.Server{Name: "s", Zone: "z", Address: "10.0.0.2:5432", Leaving: true}
+		qt.Assert(t, bundle.Diff(full(), after), qt.HasLen, 2)
+	})
+	t.Run("two changes of a user", func(t *testing.T) {
+		after := full()
+		after.Callers[0] = bundle.Caller{User: "u", Secret: "x", Databases: []string{"e"}}
+		qt.Assert(t, bundle.Diff(full(), after), qt.HasLen, 2)
+	})
+	t.Run("another order of classes", func(t *testing.T) {
+		before, after := full(), full()
+		other := bundle.Class{Name: "other"}
+		before.Groups[0].Classes = []bundle.Class{class(), other}
+		after.Groups[0].Classes = []bundle.Class{other, class()}
+		qt.Assert(t, bundle.Diff(before, after), qt.HasLen, 1)
+	})
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add(bundle.Example("mvule"))
 	f.Add([]byte("{"))
--- a/pkg/bundle/diff.go
+++ b/pkg/bundle/diff.go
@@ -3,11 +3,16 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 )
 
 // Diff describes the effects of replacing one bundle by another, in one English sentence per effect.
 func Diff(before, after Bundle) []string {
 	var out []string
+	if before.Deployment != after.Deployment {
+		out = append(out, fmt.Sprintf("The deployment is named %s instead of %s.", after.Deployment, before.Deployment))
+	}
+	out = append(out, diffZones(before.Zones, after.Zones)...)
 	for _, g := range after.Groups {
 		old, ok := before.Group(g.Name)
 		if !ok {
@@ -21,10 +26,55 @@
 			out = append(out, fmt.Sprintf("Database group %s is no longer served.", g.Name))
 		}
 	}
+	out = append(out, diffRoutes(before.Routes, after.Routes)...)
 	out = append(out, diffCallers(before, after)...)
 	return append(out, diffKeys(before, after)...)
 }
 
+func diffZones(a, b Zones) []string {
+	var out []string
+	for _, z := range b {
+		i := slices.IndexFunc(a, func(o Zone) bool { return o.Name == z.Name })
+		switch {
+		case i < 0:
+			out = append(out, fmt.Sprintf("Zone %s of region %s is added.", z.Name, z.Region))
+		case a[i].Region != z.Region:
+			out = append(out, fmt.Sprintf("Zone %s belongs to region %s instead of %s.", z.Name, z.Region, a[i].Region))
+		}
+	}
+	for _, z := range a {
+		if !slices.ContainsFunc(b, func(o Zone) bool { return o.Name == z.Name }) {
+			out = append(out, fmt.Sprintf("Zone %s is removed.", z.Name))
+		}
+	}
+	return out
+}
+
+func diffRoutes(a, b []Route) []string {
+	var out []string
+	for _, r := range b {
+		i := slices.IndexFunc(a, func(o Route) bool { return o.Name == r.Name })
+		switch {
+		case i < 0:
+			out = append(out, fmt.Sprintf("Route %s is added: %s.", r.Name, r.describe()))
+		case a[i].describe() != r.describe():
+			out = append(out, fmt.Sprintf("Route %s is now: %s; it was: %s.", r.Name, r.describe(), a[i].describe()))
+		}
+	}
+	for _, r := range a {
+		if !slices.ContainsFunc(b, func(o Route) bool { return o.Name == r.Name }) {
+			out = append(out, fmt.Sprintf("Route %s for database %s is removed.", r.Name, r.Database))
+		}
+	}
+	return out
+}
+
+// describe returns the rules of the route as a phrase.
+func (r Route) describe() string {
+	return fmt.Sprintf("database %s goes to group %s, class %s (%s) with %s", r.Database, r.Group, r.Class.Name,
+		r.Class.Match.describe(), r.Class.describe())
+}
+
 func diffGroup(a, b Group) []string {
 	var out []string
 	if a.Connections != b.Connections {
@@ -35,14 +85,29 @@
 		out = append(out, fmt.Sprintf("%s: each server runs %d requests at once instead of %d.", b.Name, b.SlotsPerServer,
 			a.SlotsPerServer))
 	}
+	if a.ConnectionsPerServer != b.ConnectionsPerServer {
+		out = append(out, fmt.Sprintf("%s: all proxies together may open %d connections to each server instead of %d.", b.Name,
+			b.ConnectionsPerServer, a.ConnectionsPerServer))
+	}
+	return append(append(out, diffServers(a, b)...), diffClasses(a, b)...)
+}
+
+func diffServers(a, b Group) []string {
+	var out []string
 	for _, s := range b.Servers {
 		i := slices.IndexFunc(a.Servers, func(o Server) bool { return o.Name == s.Name })
-		switch {
-		case i < 0:
+		if i < 0 {
 			out = append(out, fmt.Sprintf("%s: server %s at %s is added.", b.Name, s.Name, s.Address))
-		case a.Servers[i].Leaving != s.Leaving && s.Leaving:
+			continue
+		}
+		old := a.Servers[i]
+		switch {
+		case s.Leaving && !old.Leaving:
 			out = append(out, fmt.Sprintf("%s: server %s is marked as leaving and gets no new requests.", b.Name, s.Name))
-		case a.Servers[i] != s:
+		case old.Leaving && !s.Leaving:
+			out = append(out, fmt.Sprintf("%s: server %s is no longer marked as leaving.", b.Name, s.Name))
+		}
+		if old.Address != s.Address || old.Zone != s.Zone {
 			out = append(out, fmt.Sprintf("%s: server %s is now at %s in zone %s.", b.Name, s.Name, s.Address, s.Zone))
 		}
 	}
@@ -51,7 +116,7 @@
 			out = append(out, fmt.Sprintf("%s: server %s is no longer used.", b.Name, s.Name))
 		}
 	}
-	return append(out, diffClasses(a, b)...)
+	return out
 }
 
 func diffClasses(a, b Group) []string {
@@ -76,9 +141,23 @@
 			out = append(out, fmt.Sprintf("%s: class %s is removed; its requests go to the next class that matches.", b.Name, k.Name))
 		}
 	}
+	if before, after := commonClasses(a, b), commonClasses(b, a); !slices.Equal(before, after) {
+		out = append(out, fmt.Sprintf("%s: classes are tried in the order %v instead of %v.", b.Name, after, before))
+	}
 	return out
 }
 
+// commonClasses returns the names of a group's classes that another version of it has as well, in order.
+func commonClasses(g, other Group) []string {
+	var names []string
+	for _, k := range g.Classes {
+		if slices.ContainsFunc(other.Classes, func(o Class) bool { return o.Name == k.Name }) {
+			names = append(names, k.Name)
+		}
+	}
+	return names
+}
+
 // describe returns the verbs and tables as a phrase.
 func (m Match) describe() string {
 	return fmt.Sprintf("verbs %v, tables %v", m.Verbs, m.Tables)
@@ -98,6 +177,18 @@
 	if c.Long {
 		s += ", long-running requests"
 	}
+	if c.SessionBound {
+		s += ", requests bound to their session"
+	}
+	if c.Priority != 0 && c.Priority != DefaultPriority {
+		s += fmt.Sprintf(", priority %d", c.Priority)
+	}
+	if c.IdleTransactionMS > 0 {
+		s += fmt.Sprintf(", idle transactions ended after %v", time.Duration(c.IdleTransactionMS)*time.Millisecond)
+	}
+	if c.ObjectiveMS > 0 {
+		s += fmt.Sprintf(", a latency objective of %v", time.Duration(c.ObjectiveMS)*time.Millisecond)
+	}
 	return s + fmt.Sprintf(", acknowledgement after %q", c.Ack())
 }
 
@@ -105,12 +196,14 @@
 	var out []string
 	for _, c := range b.Callers {
 		old, ok := a.Caller(c.User)
-		switch {
-		case !ok:
+		if !ok {
 			out = append(out, fmt.Sprintf("User %s may connect to %v.", c.User, c.Databases))
-		case !slices.Equal(old.Databases, c.Databases):
+			continue
+		}
+		if !slices.Equal(old.Databases, c.Databases) {
 			out = append(out, fmt.Sprintf("User %s may connect to %v instead of %v.", c.User, c.Databases, old.Databases))
-		case old.Secret != c.Secret:
+		}
+		if old.Secret != c.Secret {
 			out = append(out, fmt.Sprintf("The password of user %s changes.", c.User))
 		}
 	}
