--- a/internal/operator/logs.go
+++ b/internal/operator/logs.go
@@ -20,9 +20,9 @@
 	relatedWindow = 4 * time.Second
 )
 
-// ReadLogs returns the records in the log lines of any number of nodes, oldest first. It skips lines without a record, lines of over
-// 1 MiB and any text before a line's JSON. Because nodes' clocks differ, it shifts their times so that the records of a group follow
-// the order of its terms. The error is that of the reader.
+// ReadLogs returns the records in the log lines of any number of nodes, oldest first. It skips lines without a record, lines of
+// over 1 MiB and any text before a line's JSON. Because nodes' clocks differ, it shifts their times so that the records of a group
+// follow the order of its terms. The error is that of the reader.
 func ReadLogs(r io.Reader) ([]Record, error) {
 	var rs []Record
 	lines := bufio.NewReader(r)
