A primary whose entry was missing for a moment is its group's primary again

The group then had term 1 and no primary. The server still said that it led term 1, which is no higher term, so it was not taken as the primary; and since it was not the primary, it counted as a replica whose promise a promotion needs. Ruled out: the replicas (both promised, both above the floor), the lease.

Change: a listed server that reports itself as the primary of the group's term is its primary again, if the group has none. No two servers lead one term. Records say `listed_again`. Weighed: leaving such a server out of the voters, which would promote beside a healthy primary.

Measured: TestPrimaryListedAgain; its two cases without a replacement have no primary and paused replicas 4 s later on the code before.

--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -19,6 +19,9 @@
 	KindSuspicion: suspicionSentence,
 	KindPromotion: promotionSentence,
 	KindTerm: func(r Record) string {
+		if r.Cause == "listed_again" {
+			return fmt.Sprintf("%s is listed again and still the primary of %s in term %d.", r.Server, r.Group, r.Term)
+		}
 		return fmt.Sprintf("the primary of %s is now %s in term %d (%s); previously %s.", r.Group, r.Server, r.Term, r.Cause,
 			r.evidenceValue("before"))
 	},
--- a/internal/upstream/appointed_test.go
+++ b/internal/upstream/appointed_test.go
@@ -592,6 +592,34 @@
 	})
 }
 
+// TestPrimaryListedAgain guards against a group without a primary for good after the entry of its primary was missing for a moment, as
+// in a read of a store that lags: the primary itself goes on, and is no replica that could promise anything.
+func TestPrimaryListedAgain(t *testing.T) {
+	for _, missing := range []time.Duration{50 * time.Millisecond, 300 * time.Millisecond} {
+		t.Run(fmt.Sprintf("after %v, before an order takes effect", missing), func(t *testing.T) {
+			s := newSimulation(qt.New(t))
+			s.withholdsPromise = "p"
+			s.step(upstream.ServerRemoved{Server: "p"})
+			s.run(missing)
+			s.step(s.configured("p", false))
+			s.run(4 * time.Second)
+			s.c.Check(s.view.Primary, qt.Equals, "p")
+			s.c.Check(s.view.Suspect, qt.IsFalse)
+			assertNonePaused(s)
+		})
+	}
+	t.Run("after its replacement it is no primary", func(t *testing.T) {
+		s := newSimulation(qt.New(t))
+		s.step(upstream.ServerRemoved{Server: "p"})
+		s.run(time.Second)
+		assertPromoteOrders(s, "a")
+		s.appointPrimary("a")
+		s.step(s.configured("p", false))
+		s.run(4 * time.Second)
+		s.c.Check(s.view.Primary, qt.Equals, "a")
+	})
+}
+
 func TestPrimaryStepsDownBeforeTheOrder(t *testing.T) {
 	t.Run("if it responds", func(t *testing.T) {
 		s := newSimulation(qt.New(t))
--- a/internal/upstream/rows.go
+++ b/internal/upstream/rows.go
@@ -241,6 +241,12 @@
 	return g
 }
 
+// WithListedPrimary returns the row with the primary of the current term, which had been removed.
+func (g Group) WithListedPrimary(server string) Group {
+	g.Primary = server
+	return g
+}
+
 // WithWatch returns the row with other values of Served and Watched.
 func (g Group) WithWatch(served, watched bool) Group {
 	g.Served = served
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -325,6 +325,7 @@
 		return
 	}
 	w.adoptRoute(now, s.Group, st.Term, s.Name, &st, "seen")
+	w.restorePrimary(s)
 	g, _ := w.groups.Get(s.Group)
 	if g.Term != st.Term || g.Primary != s.Name {
 		return
@@ -337,6 +338,17 @@
 	w.groups.Put(s.Group, g)
 }
 
+// restorePrimary makes a primary that is listed again the primary of its group, if none has a higher term. Its entry may have been
+// missing for a moment, as in a read of a store that lags, while the server went on.
+func (w *Watch) restorePrimary(s Server) {
+	g, _ := w.groups.Get(s.Group)
+	if g.Primary != "" || g.Term == 0 || s.Status.Term != g.Term {
+		return
+	}
+	w.groups.Put(g.Name, g.WithListedPrimary(s.Name))
+	w.writeAuditRecord(operator.Record{Kind: operator.KindTerm, Group: g.Name, Server: s.Name, Term: g.Term, Cause: "listed_again"})
+}
+
 // updateLeaderConfirmed records a replica's status that confirms the primary as leader at the time when the probe was sent.
 func (w *Watch) updateLeaderConfirmed(s Server) {
 	if g, _ := w.groups.Get(s.Group); w.kind.ConfirmsLeader(g, s) && PauseSettled(s.StatusProbedAt, g.LastPausedAt) {
