Failed try: a node pings all others once one stays unanswered; reverted

Ruled out one by one, on scratch copies: stand-ins and the attempts of a dial (without either it still fails); without the pings it passes in 9 s. On busy machines each late answer led to eight more pings, and each of these through three other members, which made more answers late.

Measured: TestFleetStartsAtOnce beside 16 busy processes passes again.

--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -64,33 +64,13 @@
 		if !ok || r.State == StateDead && m.pingCount%deadPingEvery != 0 {
 			continue
 		}
-		m.sendPing(now, r)
-		return
-	}
-}
-
-func (m *Membership) sendPing(now time.Duration, r Member) {
-	m.seq++
-	m.members.Put(r.Name, r.WithPing(now, m.seq))
-	if r.State == StateAlive {
-		m.members.SetDue(r.Name, now+AckTimeout)
-	}
-	m.send(r.Name, m.message(KindPing, m.seq))
-}
-
-// pingOthers pings the next few members of the ping order at once, after a ping of this node has stayed unanswered: a node that is
-// cut off itself finds out without waiting for its turn with each member.
-func (m *Membership) pingOthers(now time.Duration) {
-	sent := 0
-	for i := range m.pingOrder {
-		r, ok := m.members.Get(m.pingOrder[(m.nextIndex+i)%len(m.pingOrder)])
-		if ok && r.State == StateAlive && r.PendingPing == 0 {
-			m.sendPing(now, r)
-			sent++
-		}
-		if sent == pingsAfterSuspicion {
-			return
+		m.seq++
+		m.members.Put(k, r.WithPing(now, m.seq))
+		if r.State == StateAlive {
+			m.members.SetDue(k, now+AckTimeout)
 		}
+		m.send(k, m.message(KindPing, m.seq))
+		return
 	}
 }
 
@@ -138,7 +118,6 @@
 			m.members.SetDue(k, r.StateSince+DeadAfter)
 		case r.PendingPing != 0 && now-r.PingSentAt >= SuspectAfter:
 			m.change(r, r.WithState(now, StateSuspect, r.Incarnation))
-			m.pingOthers(now)
 		case r.PendingPing != 0 && !r.IndirectPing:
 			m.requestIndirectPings(k, r)
 		}
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -23,8 +23,6 @@
 	// ForgetAfter is how long the row of a dead member is kept, so that outdated gossip cannot add the member again.
 	ForgetAfter = 10 * time.Minute
 
-	// pingsAfterSuspicion is how many members a node pings at once when a ping of its own has stayed unanswered.
-	pingsAfterSuspicion = 8
 	// gossipFanout is how many members get a gossip message at once, or are asked for an indirect ping.
 	gossipFanout            = 3
 	maxBroadcastsPerMessage = 12
--- a/internal/upstream/appointed_test.go
+++ b/internal/upstream/appointed_test.go
@@ -592,8 +592,8 @@
 	})
 }
 
-// TestPrimaryListedAgain guards against a group without a primary for good after the entry of its primary was missing for a moment, as
-// in a read of a store that lags: the primary itself goes on, and is no replica that could promise anything.
+// TestPrimaryListedAgain guards against a group without a primary for good after the entry of its primary was missing for a moment,
+// as in a read of a store that lags: the primary itself goes on, and is no replica that could promise anything.
 func TestPrimaryListedAgain(t *testing.T) {
 	for _, missing := range []time.Duration{50 * time.Millisecond, 300 * time.Millisecond} {
 		t.Run(fmt.Sprintf("after %v, before an order takes effect", missing), func(t *testing.T) {
