A member that is gone is no suspect for good

Cause, by reading: a member stayed in the node's suspects after it was declared dead, also when it never came back.

Change: the list of members, which says who is suspect, replaces the suspects.

Measured: TestLostMemberForgotten fails on the code before.

--- a/internal/fleet/dispatcher_test.go
+++ b/internal/fleet/dispatcher_test.go
@@ -254,6 +254,23 @@
 	assertNoViolations(c, d)
 }
 
+// TestLostMemberForgotten guards against a node that remembers each member that has ever been lost, in a fleet where members are
+// replaced all the time.
+func TestLostMemberForgotten(t *testing.T) {
+	const lost = "10.0.0.9:8448"
+	c := qt.New(t)
+	n := startDeployment(c, 1).nodes[0]
+	n.updateMember(peer.MemberChanged{Name: lost, State: peer.StateSuspect})
+	n.updateMember(peer.MemberChanged{Name: lost, State: peer.StateDead, Previous: peer.StateSuspect})
+	n.mu.Lock()
+	members := n.members
+	n.mu.Unlock()
+	n.updateMembers(peer.MembersChanged{Members: members, Known: len(members) + 1, VMsListed: true})
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c.Assert(n.suspects, qt.HasLen, 0)
+}
+
 // TestVisibleShare guards against overload of a server by nodes that are partitioned from the fleet and each take a full
 // dispatcher's share.
 func TestVisibleShare(t *testing.T) {
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -52,9 +52,10 @@
 func (n *Node) updateMembers(a peer.MembersChanged) {
 	n.mu.Lock()
 	n.members = a.Members
+	clear(n.suspects)
 	for _, u := range a.Members {
-		if u.State == peer.StateAlive {
-			delete(n.suspects, u.Name)
+		if u.State == peer.StateSuspect {
+			n.suspects[u.Name] = true
 		}
 	}
 	n.knownMembers = a.Known
@@ -65,7 +66,7 @@
 }
 
 // updateMember records whether a member answers. Where all dispatchers of a group have become suspect, or one is trusted again, the
-// group is assigned anew. A member that has just been declared dead stays a suspect until the list of members lacks it.
+// group is assigned anew. A member that has just been declared dead stays a suspect until updateMembers gets a list without it.
 func (n *Node) updateMember(a peer.MemberChanged) {
 	b := n.routes.Load().bundle
 	n.mu.Lock()
