A primary listed again after an order that took no effect: shown

Change: a subtest for it. Measured: it passes; 4 s after the promotion's time-out the primary leads and no replica is paused.

--- a/internal/upstream/appointed_test.go
+++ b/internal/upstream/appointed_test.go
@@ -608,6 +608,19 @@
 			assertNonePaused(s)
 		})
 	}
+	t.Run("after an order that takes no effect", func(t *testing.T) {
+		s := newSimulation(qt.New(t))
+		s.step(upstream.ServerRemoved{Server: "p"})
+		for len(s.promoteOrders) == 0 {
+			s.run(time.Millisecond)
+		}
+		s.withholdsPromise = "p"
+		s.step(s.configured("p", false))
+		s.run(upstream.Appointed().Timing.OpenTimeout + 4*time.Second)
+		s.c.Check(s.view.Primary, qt.Equals, "p")
+		s.c.Check(s.view.Suspect, qt.IsFalse)
+		assertNonePaused(s)
+	})
 	t.Run("after its replacement it is no primary", func(t *testing.T) {
 		s := newSimulation(qt.New(t))
 		s.step(upstream.ServerRemoved{Server: "p"})
