--- a/internal/caller/crest_test.go
+++ b/internal/caller/crest_test.go
@@ -28,8 +28,8 @@
 	// arrived when the crest had lasted for crestOnset.
 	inTime       int
 	refusedAfter []time.Duration
-	// answersFrom is the time before which the primary answers nothing; a request sent while it does so ends with its link. Those
-	// that arrive before countFrom count in neither of the above.
+	// answersFrom is the time before which the primary answers nothing. Requests that arrive before countFrom count in neither of the
+	// above.
 	answersFrom time.Duration
 	countFrom   time.Duration
 }
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -38,24 +38,27 @@
 	departureWeight = 0.03
 )
 
-// maxStallRetry bounds the time to return that a refused caller is told because nothing leaves a queue. Nobody knows when it will.
-const maxStallRetry = time.Second
+const (
+	// maxStallRetry bounds the time to return that a refused caller is told because nothing leaves a queue.
+	maxStallRetry = time.Second
+	// stallMemory is how long a stall is remembered after the last request has joined the queue, in times that it may wait.
+	stallMemory = 2
+)
 
 // departureStats is the row of one queue: the weighted mean interval between departures while other requests waited in it.
 type departureStats struct {
 	lastAt   time.Duration
 	interval time.Duration
 	nonEmpty bool
-	// waitingSince is the time since which requests have waited and none has left, also if all of those before have given up, and zero
-	// if none waits. joinedAt is when the last one joined.
+	// waitingSince is the time since which requests have waited in the queue and none was sent, zero if the last one that was sent
+	// left it empty. It stays as it is while requests give up. joinedAt is when the last one joined.
 	waitingSince time.Duration
 	joinedAt     time.Duration
 }
 
-// withJoin returns the row after a request has joined the queue, which waits for at most the given time. After a pause of twice
-// that, what kept earlier requests waiting may be over.
+// withJoin returns the row after a request has joined the queue, which waits for at most the given time.
 func (d departureStats) withJoin(now, patience time.Duration) departureStats {
-	if d.waitingSince == 0 || now-d.joinedAt > 2*patience {
+	if d.waitingSince == 0 || now-d.joinedAt > stallMemory*patience {
 		d.waitingSince = now
 	}
 	d.joinedAt = now
--- a/internal/platform/mirror.go
+++ b/internal/platform/mirror.go
@@ -50,7 +50,7 @@
 	// followerPatience times as long, so that a slow change is not read by all of them.
 	ConfirmTimeout time.Duration
 	// BatchDelay is the longest delay of the next read after one that returned changes, which come in bursts. A burst ends with a
-	// read that waited for longer.
+	// read that waited for as long, or that returned none.
 	BatchDelay time.Duration
 	// CompareAge, if not nil, compares the ages of two values of a row by their writer's own numbering: a negative result means that
 	// a was written before b, zero that this is unknown or that they are equally old. Where the store has lost a later value, the
--- a/internal/platform/mirror_test.go
+++ b/internal/platform/mirror_test.go
@@ -329,24 +329,25 @@
 		f.put("server 0", []byte("1"))
 		return f
 	}
-	for _, after := range []time.Duration{50 * time.Millisecond, 180 * time.Millisecond, 400 * time.Millisecond} {
-		t.Run(fmt.Sprintf("a server registers %v after the start", after), func(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		delays []time.Duration // before each server registers
+	}{
+		{"a server registers 50 ms after the start", []time.Duration{50 * time.Millisecond}},
+		{"180 ms after it", []time.Duration{180 * time.Millisecond}},
+		{"400 ms after it", []time.Duration{400 * time.Millisecond}},
+		{"two servers register soon after each other", []time.Duration{3 * time.Second, interval}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
 			f := newFleet()
-			f.Run(f.Now() + after)
-			f.put("server 1", []byte("1"))
+			for i, d := range tc.delays {
+				f.Run(f.Now() + d)
+				f.put(fmt.Sprintf("server %d", i+1), []byte("1"))
+			}
 			f.Run(f.Now() + batchDelay/2)
 			f.assertCopies(t)
 		})
 	}
-	t.Run("two servers register soon after each other", func(t *testing.T) {
-		f := newFleet()
-		f.Run(f.Now() + 3*time.Second)
-		f.put("server 1", []byte("1"))
-		f.Run(f.Now() + interval)
-		f.put("server 2", []byte("1"))
-		f.Run(f.Now() + batchDelay/2)
-		f.assertCopies(t)
-	})
 	t.Run("a long burst is read in batches", func(t *testing.T) {
 		f := newFleet()
 		readers := f.readers()
--- a/internal/upstream/appointed_test.go
+++ b/internal/upstream/appointed_test.go
@@ -592,6 +592,14 @@
 	})
 }
 
+// assertLedBy checks that a server leads the group without a suspicion, and that no replica is paused.
+func assertLedBy(s *simulation, server string) {
+	s.c.Helper()
+	s.c.Check(s.view.Primary, qt.Equals, server)
+	s.c.Check(s.view.Suspect, qt.IsFalse)
+	assertNonePaused(s)
+}
+
 // TestPrimaryListedAgain guards against a group without a primary for good after the entry of its primary was missing for a moment,
 // as in a read of a store that lags: the primary itself goes on, and is no replica that could promise anything.
 func TestPrimaryListedAgain(t *testing.T) {
@@ -603,9 +611,7 @@
 			s.run(missing)
 			s.step(s.configured("p", false))
 			s.run(4 * time.Second)
-			s.c.Check(s.view.Primary, qt.Equals, "p")
-			s.c.Check(s.view.Suspect, qt.IsFalse)
-			assertNonePaused(s)
+			assertLedBy(s, "p")
 		})
 	}
 	t.Run("after an order that takes no effect", func(t *testing.T) {
@@ -617,9 +623,7 @@
 		s.withholdsPromise = "p"
 		s.step(s.configured("p", false))
 		s.run(upstream.Appointed().Timing.OpenTimeout + 4*time.Second)
-		s.c.Check(s.view.Primary, qt.Equals, "p")
-		s.c.Check(s.view.Suspect, qt.IsFalse)
-		assertNonePaused(s)
+		assertLedBy(s, "p")
 	})
 	t.Run("after its replacement it is no primary", func(t *testing.T) {
 		s := newSimulation(qt.New(t))
