--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -117,6 +117,43 @@
 	return w.lostWrites(written()), nil
 }
 
+// restartedReplica has one replica receive nothing for 6 s. Meanwhile the primary crashes for 7 s, and the other replica starts
+// again under its id, with nothing of before.
+func restartedReplica(w *world) (bool, error) {
+	stop := make(chan struct{})
+	written := w.writers(9, 60*time.Millisecond, stop)
+	w.readers(12, "blotter", 60*time.Millisecond, stop)
+	w.readers(12, "recon", 60*time.Millisecond, stop)
+	time.Sleep(4*time.Second + rand.N(time.Second))
+	primary, lagging, restarting := w.group.servers[0], w.group.servers[1], w.group.servers[2]
+	if w.trouble {
+		lagging.setDeaf(true)
+		w.rec.say("%s receives nothing from now on", lagging.id)
+		time.AfterFunc(6*time.Second, func() {
+			lagging.setDeaf(false)
+			w.rec.say("%s receives again", lagging.id)
+		})
+		time.Sleep(2 * time.Second)
+		primary.crash()
+		restarting.crash()
+		w.rec.say("%s and %s have crashed", primary.id, restarting.id)
+		time.Sleep(time.Second)
+		restarting.forget()
+		if err := restarting.start(); err != nil {
+			return false, err
+		}
+		w.rec.say("%s has started again with nothing", restarting.id)
+		time.Sleep(6 * time.Second)
+		if err := primary.start(); err != nil {
+			return false, err
+		}
+		w.rec.say("%s is back with its log", primary.id)
+	}
+	time.Sleep(10 * time.Second)
+	close(stop)
+	return w.lostWrites(written()), nil
+}
+
 // lostWrites reports whether the log of a server that was promoted lacks an acknowledged write of an earlier term.
 func (w *world) lostWrites(acked []write) bool {
 	g := w.group
@@ -224,3 +261,35 @@
 	return fmt.Sprintf("%s (%s), sent %v after the SIGTERM, reached a server; %v later its connection ended: %v", text, a.id,
 		a.sentAt.Sub(signalAt), a.endedAt.Sub(a.sentAt), err)
 }
+
+// blank writes data that end in a blank through a prepared statement, and reads them back.
+func blank(w *world) (bool, error) {
+	end := ""
+	if w.trouble {
+		end = " "
+	}
+	changed := 0
+	for i, n := range w.nodes {
+		s, err := openSession(n, "affirm", w.rec)
+		if err != nil {
+			return false, err
+		}
+		defer s.close()
+		data := fmt.Sprintf("note %d%s", i, end)
+		for _, text := range []string{"PREPARE s1 WRITE q2c", fmt.Sprintf("EXECUTE s1 k%d %s", i, data)} {
+			if a, err := s.query(text); err != nil || a.code != "" {
+				return false, fmt.Errorf("%q: %v %s", text, err, a.code)
+			}
+		}
+		a, err := s.query(fmt.Sprintf("READ k%d", i))
+		if err != nil || len(a.rows) != 1 {
+			return false, fmt.Errorf("read: %v %s", err, a.code)
+		}
+		if a.rows[0] != data {
+			changed++
+			w.rec.add("UNASKED: sent %q, the server kept %q", data, a.rows[0])
+		}
+	}
+	w.rec.say("%d of %d written values were changed", changed, len(w.nodes))
+	return changed > 0, nil
+}
--- a/review/standin/group.go
+++ b/review/standin/group.go
@@ -123,6 +123,13 @@
 	}
 }
 
+// forget removes all that a server holds, while it is down.
+func (s *server) forget() {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.log, s.receivedAt, s.term, s.seq, s.primary = nil, nil, 0, 0, false
+}
+
 // checkIn writes the server's entry at intervals while the server runs.
 func (s *server) checkIn(born int64) {
 	for {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -42,8 +42,10 @@
 }
 
 var cases = map[string]func(w *world) (broken bool, err error){
-	"replica-crash": replicaCrash,
-	"sigterm":       sigterm,
+	"replica-crash":     replicaCrash,
+	"blank":             blank,
+	"restarted-replica": restartedReplica,
+	"sigterm":           sigterm,
 }
 
 func main() {
