--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -36,6 +37,8 @@
 	group   *group
 	nodes   []*node
 	trouble bool
+	// startOnly is set if the case is that the proxies start.
+	startOnly bool
 	// dir holds the settings and logs of the proxies, zones the zone of each.
 	dir   string
 	zones []string
@@ -46,6 +49,7 @@
 	"blank":             blank,
 	"restarted-replica": restartedReplica,
 	"sigterm":           sigterm,
+	"start":             func(*world) (bool, error) { return false, nil },
 }
 
 func main() {
@@ -62,9 +66,16 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	w := &world{rec: rec, trouble: os.Getenv("TROUBLE") != "0"}
+	w := &world{rec: rec, trouble: os.Getenv("TROUBLE") != "0", startOnly: os.Args[1] == "start"}
+	if w.startOnly && w.trouble {
+		graceS = "6.5"
+	}
 	broken, err := w.play(cases[os.Args[1]])
 	switch {
+	case broken && w.startOnly:
+		rec.say("%v", err)
+		rec.say("the rule was broken")
+		return exitBroken
 	case err != nil:
 		rec.say("not run: %v", err)
 		return exitNotRun
@@ -114,7 +125,8 @@
 		}
 	}()
 	if err != nil {
-		return false, err
+		keepLogs(dir, w.nodes, w.rec, "")
+		return errors.Is(err, errEnded) && w.startOnly, err
 	}
 	go w.endEarly(dir)
 	time.Sleep(2 * time.Second)
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -63,6 +63,8 @@
 	peer    string
 	status  string
 	process *exec.Cmd
+	// ended is closed when the process has ended.
+	ended chan struct{}
 }
 
 // freeAddress returns a loopback address on which nothing listens. Its port is below those that the system gives to outgoing
@@ -114,11 +116,16 @@
 	}
 	raw, err := json.Marshal(map[string]any{
 		"node": n.name, "zone": zone, "zones": zonesOf(), "listen": n.listen, "ready": n.ready, "peer": n.peer, "seeds": seeds,
-		"status": n.status, "store": storeAddress, "orders": storeAddress, "cores": 0.4, "grace_ms": 6000, "log_level": "info",
+		"status": n.status, "store": storeAddress, "orders": storeAddress, "cores": 0.4, "grace_ms": graceMark, "log_level": "info",
 	})
 	if err != nil {
 		return err
 	}
+	setting, err := graceSetting()
+	if err != nil {
+		return err
+	}
+	raw = []byte(strings.Replace(string(raw), fmt.Sprintf(`"grace_ms":%d`, graceMark), setting, 1))
 	settings := filepath.Join(dir, n.name+".jsonc")
 	if err := os.WriteFile(settings, raw, 0o600); err != nil {
 		return err
@@ -130,7 +137,40 @@
 	n.process = exec.Command(program)
 	n.process.Env = []string{"PATH=" + os.Getenv("PATH"), "BUCKTHORNPORT_SETTINGS=" + settings}
 	n.process.Stdout, n.process.Stderr = log, log
-	return n.process.Start()
+	if err := n.process.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	n.ended = ended
+	go func() {
+		_ = n.process.Wait()
+		close(ended)
+	}()
+	return nil
+}
+
+// errEnded reports that a proxy ended by itself before it was ready.
+var errEnded = errors.New("the process ended by itself before it was ready")
+
+// graceMark stands for the grace period until the template's setting of it is filled in.
+const graceMark = 123456789
+
+// graceS is the platform's GraceS, as it fills it in.
+var graceS = "6"
+
+// graceSetting returns the line of the template that sets the grace period, filled in as the platform does it.
+func graceSetting() (string, error) {
+	raw, err := os.ReadFile("deploy/settings.jsonc")
+	if err != nil {
+		return "", err
+	}
+	for line := range strings.Lines(string(raw)) {
+		if strings.Contains(line, `"grace_ms"`) {
+			line = strings.TrimSuffix(strings.TrimSpace(line), ",")
+			return strings.ReplaceAll(line, "{{Bounds.GraceS}}", graceS), nil
+		}
+	}
+	return "", errors.New("the template doesn't set grace_ms")
 }
 
 func zonesOf() []map[string]string {
@@ -143,6 +183,11 @@
 	client := http.Client{Timeout: time.Second}
 	for end := time.Now().Add(readyWait); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		resp, err := client.Get("http://" + n.ready + "/readyz")
+		select {
+		case <-n.ended:
+			return errEnded
+		default:
+		}
 		if err != nil {
 			continue
 		}
@@ -163,8 +208,8 @@
 // kill ends a process and waits for its end.
 func (n *node) kill() {
 	n.signal(syscall.SIGKILL)
-	if n.process != nil {
-		_ = n.process.Wait()
+	if n.ended != nil {
+		<-n.ended
 	}
 }
 
