--- a/internal/caller/appointed_test.go
+++ b/internal/caller/appointed_test.go
@@ -503,3 +503,43 @@
 		l.c.Assert(has[caller.Send](l.openConns(l.step(caller.ViewUpdated{View: l.view}))), qt.IsTrue)
 	})
 }
+
+// TestAcknowledgedCommitsAreReported guards against a promotion that does not know which commits were acknowledged, after the log
+// that held them was lost (LOST, review/1).
+func TestAcknowledgedCommitsAreReported(t *testing.T) {
+	lost := func(l *appointedLane) []caller.Action {
+		l.view.LogLostAt = l.now
+		return l.step(caller.ViewUpdated{View: l.view})
+	}
+	t.Run("when the log of a replica is lost", func(t *testing.T) {
+		l := newAppointedLane(qt.New(t))
+		l.write(1, 21)
+		l.c.Assert(only[caller.CommitsAcknowledged](l.c, lost(l)).Position, qt.Equals, session.Position{Term: 1, Offset: 21})
+	})
+	t.Run("when the primary is suspected", func(t *testing.T) {
+		l := newAppointedLane(qt.New(t))
+		l.write(1, 21)
+		l.view.Suspect = true
+		as := l.step(caller.ViewUpdated{View: l.view})
+		l.c.Assert(only[caller.CommitsAcknowledged](l.c, as).Position, qt.Equals, session.Position{Term: 1, Offset: 21})
+	})
+	t.Run("also those acknowledged afterwards", func(t *testing.T) {
+		l := newAppointedLane(qt.New(t))
+		l.write(1, 21)
+		lost(l)
+		l.write(1, 22)
+		l.c.Assert(only[caller.CommitsAcknowledged](l.c, l.wait(time.Second)).Position, qt.Equals, session.Position{Term: 1, Offset: 22})
+	})
+	t.Run("but not while the group is healthy", func(t *testing.T) {
+		l := newAppointedLane(qt.New(t))
+		l.write(1, 21)
+		l.c.Assert(has[caller.CommitsAcknowledged](l.wait(time.Second)), qt.IsFalse)
+	})
+	t.Run("and the lost log no longer shows that a replica holds a commit", func(t *testing.T) {
+		l := newAppointedLane(qt.New(t))
+		l.write(1, 30)
+		s := only[caller.Send](l.c, l.request(2, write))
+		lost(l)
+		assertHeldBack(l, l.reply(s, 29))
+	})
+}
--- a/internal/caller/confirm.go
+++ b/internal/caller/confirm.go
@@ -138,6 +138,7 @@
 		case !ok || r.PendingLeadership && r.Phase == PhaseRunning && l.leaderAt(r.Arrived):
 		case r.PendingReplica && l.replicatedTo.Covers(r.Position):
 			s, _ := l.sessions.Get(r.Session)
+			l.recordAcknowledged(r.Position)
 			l.deliverAnswer(now, s, r, Replied{Position: r.Position})
 		case r.PendingLeadership && r.Phase == PhaseConfirming && l.leaderAt(r.Arrived):
 			s, _ := l.sessions.Get(r.Session)
--- a/internal/caller/groupkind.go
+++ b/internal/caller/groupkind.go
@@ -27,6 +27,9 @@
 	slowThreshold = 400 * time.Millisecond
 	// reportInterval is the minimum time between two reports to control about one server.
 	reportInterval = 250 * time.Millisecond
+	// acknowledgedInterval is the minimum time between two reports of acknowledged commits. It is several times shorter than
+	// upstream.FloorSettleTime.
+	acknowledgedInterval = 100 * time.Millisecond
 )
 
 // GroupKind holds what differs between kinds of database groups, as one concrete set of functions.
@@ -133,6 +136,26 @@
 	}
 }
 
+// recordAcknowledged records the acknowledgement of a commit.
+func (l *Lane) recordAcknowledged(p session.Position) {
+	l.acknowledgedTo = l.acknowledgedTo.Max(p)
+}
+
+// acknowledgedUnreported reports whether control needs to know of acknowledged commits that were not reported yet.
+func (l *Lane) acknowledgedUnreported() bool {
+	return l.view.FloorNeeded() && !l.reportedTo.Covers(l.acknowledgedTo)
+}
+
+// reportAcknowledged reports acknowledged commits to control while control needs to know them, at most once per
+// acknowledgedInterval.
+func reportAcknowledged(l *Lane, now time.Duration) {
+	if !l.acknowledgedUnreported() || now < l.reportAcknowledgedAt {
+		return
+	}
+	l.reportedTo, l.reportAcknowledgedAt = l.acknowledgedTo, now+acknowledgedInterval
+	l.actions = append(l.actions, CommitsAcknowledged{Position: l.acknowledgedTo})
+}
+
 // freshReplica accepts a replica whose applied log is confirmed to be recent enough for the class and covers the session's
 // required position.
 func freshReplica(q RouteQuery, s Server) (session.Position, bool) {
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -22,6 +22,11 @@
 	leaderConfirmedAt time.Duration
 	// replicatedTo is the highest position of this term's log that a replica is known to hold.
 	replicatedTo session.Position
+	// acknowledgedTo is the highest position of a commit that was acknowledged, and reportedTo the one that control knows of.
+	// reportAcknowledgedAt is the earliest time of the next report.
+	acknowledgedTo       session.Position
+	reportedTo           session.Position
+	reportAcknowledgedAt time.Duration
 	// replicaPausedAt is when a replica was last known to be paused, following no primary. Zero means never in this term.
 	replicaPausedAt time.Duration
 	// evidenceAttempts counts failed confirmations. It selects the server to ask next.
@@ -175,6 +180,7 @@
 		{"confirmations", sendConfirmations},
 		{"leases", maintainLeases},
 		{"pool", closeIdleConns},
+		{"acknowledged commits", reportAcknowledged},
 	}
 	for _, o := range opts {
 		if err := o(l); err != nil {
@@ -205,6 +211,9 @@
 	if l.replicaWaitUntil != 0 {
 		wake = min(wake, max(now, l.replicaWaitUntil))
 	}
+	if l.acknowledgedUnreported() {
+		wake = min(wake, max(now, l.reportAcknowledgedAt))
+	}
 	if l.confirmationNeeded() {
 		wake = min(wake, max(now, l.confirmAt))
 	}
@@ -314,6 +323,10 @@
 		l.replicaPausedAt = 0
 		l.retryUnconfirmed()
 	}
+	if v.LogLostAt != 0 && v.LogLostAt != l.view.LogLostAt {
+		// The replica that held the log up to there may be the one whose log was lost.
+		l.replicatedTo = session.Position{}
+	}
 	l.view = v
 	l.replicaPausedAt = max(l.replicaPausedAt, v.LastPausedAt)
 	l.sample(v.LatestSample)
--- a/internal/caller/messages.go
+++ b/internal/caller/messages.go
@@ -275,20 +275,26 @@
 	WriteStalled bool
 }
 
-func (ResponseReceived) callerAction()  {}
-func (ServerSuspected) callerAction()   {}
-func (Open) callerAction()              {}
-func (Close) callerAction()             {}
-func (Send) callerAction()              {}
-func (Release) callerAction()           {}
-func (Complete) callerAction()          {}
-func (Refuse) callerAction()            {}
-func (LookupOutcome) callerAction()     {}
-func (WriteTombstone) callerAction()    {}
-func (ConfirmLeadership) callerAction() {}
-func (CancelUpstream) callerAction()    {}
-func (EndSession) callerAction()        {}
-func (WriteAuditRecord) callerAction()  {}
+// CommitsAcknowledged reports to control that commits up to a position were acknowledged to their callers.
+type CommitsAcknowledged struct {
+	Position session.Position
+}
+
+func (CommitsAcknowledged) callerAction() {}
+func (ResponseReceived) callerAction()    {}
+func (ServerSuspected) callerAction()     {}
+func (Open) callerAction()                {}
+func (Close) callerAction()               {}
+func (Send) callerAction()                {}
+func (Release) callerAction()             {}
+func (Complete) callerAction()            {}
+func (Refuse) callerAction()              {}
+func (LookupOutcome) callerAction()       {}
+func (WriteTombstone) callerAction()      {}
+func (ConfirmLeadership) callerAction()   {}
+func (CancelUpstream) callerAction()      {}
+func (EndSession) callerAction()          {}
+func (WriteAuditRecord) callerAction()    {}
 
 // Reason is the reason for which a request was refused.
 type Reason uint8
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -56,6 +56,9 @@
 		l.refuse(r, Refusal{Reason: ReasonUnknown, Detail: "committed while the primary was being replaced"})
 		return
 	}
+	if wrote && l.kind.SemiSync && l.replicatedTo.Covers(e.Position) {
+		l.recordAcknowledged(e.Position)
+	}
 	switch {
 	case wrote && l.kind.SemiSync && !l.replicatedTo.Covers(e.Position):
 		l.requests.Put(r.ID, r.WithPendingReplica(e.Position))
--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -256,6 +256,9 @@
 	l.ServerSuspected = func(a caller.ServerSuspected) {
 		n.thread.Post(upstream.ServerSuspected{Server: a.Server, WriteStalled: a.WriteStalled})
 	}
+	l.CommitsAcknowledged = func(a caller.CommitsAcknowledged) {
+		n.thread.Post(upstream.CommitsAcknowledged{Group: group, Position: a.Position})
+	}
 	l.Dial = func(ctx context.Context, a caller.Open, post func(caller.Event)) (traffic.UpstreamConn, error) {
 		u, err := n.controlClient.DialUpstream(ctx, n.listener, group, a, post)
 		if err != nil {
--- a/internal/standin/metadata/group.go
+++ b/internal/standin/metadata/group.go
@@ -54,7 +54,9 @@
 	notReceiving bool
 	applyLag     time.Duration
 	receivedAt   []time.Time
-	reads        int
+	// born counts the starts of the server.
+	born  int
+	reads int
 }
 
 // AddGroup starts a group on loopback addresses, with one server in each zone, and lists its servers. The first server is the
@@ -68,7 +70,7 @@
 		}
 		s := &server{
 			id: fmt.Sprintf("i-%s-%d", name, i+1), group: g, zone: z, listener: l, address: l.Addr().String(), conns: map[net.Conn]bool{},
-			primary: i == 0, term: 1,
+			primary: i == 0, term: 1, born: 1,
 		}
 		g.servers = append(g.servers, s)
 		go p.accept(s)
@@ -92,7 +94,7 @@
 	}
 	raw, err := json.Marshal(map[string]any{
 		"Service": s.group.name, "Addr": s.address, "Zone": s.zone, "Version": "v1", "Capacity": 5,
-		"State": state, "WarmupLeftMs": 0, "DbRole": role, "Seq": p.entries, "born": 1,
+		"State": state, "WarmupLeftMs": 0, "DbRole": role, "Seq": p.entries, "born": s.born,
 	})
 	if err != nil {
 		panic(err)
@@ -111,6 +113,17 @@
 	}
 }
 
+// Restart brings a server back without its log, under the id that it had.
+func Restart() ServerChange {
+	return func(p *Platform, s *server) {
+		s.closeConnections()
+		s.down, s.primary, s.pausedTerm = false, false, 0
+		s.log, s.receivedAt = nil, nil
+		s.born++
+		p.listServer(s, "ready")
+	}
+}
+
 // Unresponsive makes a server accept connections but answer nothing.
 func Unresponsive(on bool) ServerChange {
 	return func(_ *Platform, s *server) { s.unresponsive = on }
--- a/internal/traffic/lane.go
+++ b/internal/traffic/lane.go
@@ -30,6 +30,8 @@
 	// ResponseReceived and ServerSuspected report to control that a server answered or failed to answer.
 	ResponseReceived func(a caller.ResponseReceived)
 	ServerSuspected  func(a caller.ServerSuspected)
+	// CommitsAcknowledged reports to control which commits were acknowledged.
+	CommitsAcknowledged func(a caller.CommitsAcknowledged)
 	// WriteAuditRecord writes a record to the audit trail.
 	WriteAuditRecord func(r operator.Record)
 	// Panicked reports a panic that cost an upstream connection.
@@ -101,7 +103,8 @@
 	l := &Lane{
 		database: database, decisions: d, ctx: ctx,
 		ResponseReceived: func(caller.ResponseReceived) {}, ServerSuspected: func(caller.ServerSuspected) {}, Panicked: func(error) {},
-		upstreams: map[caller.ConnID]UpstreamConn{}, dialing: map[caller.ConnID]context.CancelFunc{}, snapshotAt: -snapshotInterval,
+		CommitsAcknowledged: func(caller.CommitsAcknowledged) {},
+		upstreams:           map[caller.ConnID]UpstreamConn{}, dialing: map[caller.ConnID]context.CancelFunc{}, snapshotAt: -snapshotInterval,
 	}
 	l.loop = tick.NewLoop(clock, l.step, l.perform)
 	return l
@@ -185,6 +188,8 @@
 		l.ResponseReceived(a)
 	case caller.ServerSuspected:
 		l.ServerSuspected(a)
+	case caller.CommitsAcknowledged:
+		l.CommitsAcknowledged(a)
 	case caller.WriteAuditRecord:
 		l.WriteAuditRecord(a.Record)
 	default:
--- a/internal/upstream/appointed.go
+++ b/internal/upstream/appointed.go
@@ -85,9 +85,10 @@
 	return ""
 }
 
-// hasSuccessor reports whether a replica responds, is not leaving and has reached the floor.
+// hasSuccessor reports whether a replica responds, is not leaving and has reached the floor. While only the primary is known to hold
+// all acknowledged commits, no replica may succeed it.
 func (e FailureEvidence) hasSuccessor() bool {
-	return slices.ContainsFunc(possibleReplicas(e), func(s Server) bool {
+	return !e.needsPrimary() && slices.ContainsFunc(possibleReplicas(e), func(s Server) bool {
 		return s.Fresh(e.Now, e.Timing.FreshTTL) && !s.IsLeaving() && s.Status.Position.Covers(e.Group.Floor)
 	})
 }
@@ -127,10 +128,10 @@
 			return nil
 		}
 	}
-	return slices.DeleteFunc(slices.Clone(ps), func(p Promise) bool {
+	return e.afterLogLoss(ps, slices.DeleteFunc(slices.Clone(ps), func(p Promise) bool {
 		voter := slices.ContainsFunc(voters, func(s Server) bool { return s.Name == p.Server })
 		return p.Server == e.Group.Primary || !p.Position.Covers(e.Group.Floor) || !voter
-	})
+	}))
 }
 
 // preferNotLeaving prefers a server that is not leaving.
--- a/internal/upstream/appointed_test.go
+++ b/internal/upstream/appointed_test.go
@@ -38,6 +38,8 @@
 	resumeOrders     []string
 	view             upstream.GroupView
 	auditRecords     []operator.Record
+	// announcedFloor is the last floor that was reported to the peers.
+	announcedFloor session.Position
 }
 
 type pendingEvent struct {
@@ -150,6 +152,8 @@
 		s.answerLater(upstream.PromoteAnswered{Server: a.Server, Term: a.Term, Accepted: true})
 	case upstream.PublishView:
 		s.view = a.View
+	case upstream.AnnounceFloor:
+		s.announcedFloor = a.Floor
 	case upstream.WriteAuditRecord:
 		s.auditRecords = append(s.auditRecords, a.Record)
 	default:
--- a/internal/upstream/limits.go
+++ b/internal/upstream/limits.go
@@ -40,6 +40,8 @@
 	// JoinSettleTime is how long the reports of a server that joined its group do not count as evidence. A promotion that began
 	// before the server joined does not pause it, and ends within the lease's duration plus the time until its order takes effect.
 	JoinSettleTime = LeaseDuration + LeaseSettleTime + time.Second
+	// FloorSettleTime is how long after the loss of a replica's log the group's floor may lack commits that other nodes acknowledged.
+	FloorSettleTime = 500 * time.Millisecond
 	// startupWindow is how long after its start a node treats newly listed servers as existing members of their group.
 	startupWindow = 2 * time.Second
 	// stallAlertTime is how long a group is probed at ShortProbeInterval after a write has stalled.
--- a/internal/upstream/messages.go
+++ b/internal/upstream/messages.go
@@ -70,6 +70,12 @@
 	Floor   session.Position
 }
 
+// CommitsAcknowledged reports that this node's traffic has acknowledged commits of a group up to a position.
+type CommitsAcknowledged struct {
+	Group    string
+	Position session.Position
+}
+
 // VMListed reports whether the platform's list of VMs marks a server as leaving.
 type VMListed struct {
 	Server  string
@@ -105,18 +111,19 @@
 	Nodes []string
 }
 
-func (ProbeSucceeded) upstreamEvent()   {}
-func (ProbeFailed) upstreamEvent()      {}
-func (PromiseAnswered) upstreamEvent()  {}
-func (PromoteAnswered) upstreamEvent()  {}
-func (RouteLearned) upstreamEvent()     {}
-func (VMListed) upstreamEvent()         {}
-func (ServerConfigured) upstreamEvent() {}
-func (PeersUpdated) upstreamEvent()     {}
-func (GroupServed) upstreamEvent()      {}
-func (ServerRemoved) upstreamEvent()    {}
-func (ResponseReceived) upstreamEvent() {}
-func (ServerSuspected) upstreamEvent()  {}
+func (ProbeSucceeded) upstreamEvent()      {}
+func (ProbeFailed) upstreamEvent()         {}
+func (PromiseAnswered) upstreamEvent()     {}
+func (PromoteAnswered) upstreamEvent()     {}
+func (RouteLearned) upstreamEvent()        {}
+func (CommitsAcknowledged) upstreamEvent() {}
+func (VMListed) upstreamEvent()            {}
+func (ServerConfigured) upstreamEvent()    {}
+func (PeersUpdated) upstreamEvent()        {}
+func (GroupServed) upstreamEvent()         {}
+func (ServerRemoved) upstreamEvent()       {}
+func (ResponseReceived) upstreamEvent()    {}
+func (ServerSuspected) upstreamEvent()     {}
 
 // Action is an output of Watch.Step that the node has to carry out.
 type Action interface{ upstreamAction() }
@@ -221,6 +228,13 @@
 	LastPausedAt time.Duration
 	// LatestSample is the latest position that the primary reported to a probe.
 	LatestSample Sample
+	// LogLostAt is when the log of a replica was lost that the others are not known to replace, zero if there is none.
+	LogLostAt time.Duration
+}
+
+// FloorNeeded reports whether control needs to know at once which commits the group's traffic acknowledges.
+func (g GroupView) FloorNeeded() bool {
+	return g.Suspect || g.LogLostAt != 0
 }
 
 // WithLeaderConfirmed returns the view with another time at which the primary was confirmed as leader.
--- a/internal/upstream/promote.go
+++ b/internal/upstream/promote.go
@@ -187,7 +187,8 @@
 		return
 	}
 	w.learnFloor(p.Group, best.Position)
-	w.actions = append(w.actions, AnnounceFloor{Group: p.Group, Floor: best.Position})
+	g, _ = w.groups.Get(p.Group)
+	w.announceFloor(g)
 	w.schedulePromotion(p.WithStage(StageRecording, now+leaseStoreTimeout))
 	w.actions = append(w.actions, AcquireLease{
 		Group: p.Group, Lease: p.Lease.WithHolder(w.node).WithActor(w.node).WithFloor(best.Position), SentAt: now,
--- a/internal/upstream/rows.go
+++ b/internal/upstream/rows.go
@@ -197,9 +197,14 @@
 	NoPrimarySince time.Duration
 	// ReplicationStalledSince is the time since which no replica has received the log that the primary held, zero while one has.
 	ReplicationStalledSince time.Duration
-	// Floor is the minimum position that a new primary must hold. The last promotion recorded it in the lease, and the removal of
-	// a replica may raise it.
+	// Floor is the minimum position that a new primary must hold. The last promotion recorded it in the lease, and the loss of a
+	// replica's log may raise it.
 	Floor session.Position
+	// LogLostAt is when the log of a replica was last lost, zero once another replica is known to hold LogLossBound. Until then the
+	// group's replicas may lack commits that the primary acknowledged.
+	LogLostAt time.Duration
+	// LogLossBound is the log of the primary at its first probe after LogLostAt. At is zero while there is none.
+	LogLossBound Sample
 }
 
 // WithFloor returns the row with a floor of at least the given position.
@@ -208,6 +213,26 @@
 	return g
 }
 
+// WithLogLost returns the row after the log of a replica was lost.
+func (g Group) WithLogLost(now time.Duration) Group {
+	g.LogLostAt = now
+	g.LogLossBound = Sample{}
+	return g
+}
+
+// WithLogLossBound returns the row with the primary's log after the loss of a replica's log.
+func (g Group) WithLogLossBound(s Sample) Group {
+	g.LogLossBound = s
+	return g
+}
+
+// WithoutLogLoss returns the row of a group in which a replica holds all commits that the lost log may have held.
+func (g Group) WithoutLogLoss() Group {
+	g.LogLostAt = 0
+	g.LogLossBound = Sample{}
+	return g
+}
+
 // WithAlert returns the row of a group that is probed at ShortProbeInterval until the given time.
 func (g Group) WithAlert(until time.Duration) Group {
 	g.AlertUntil = until
@@ -287,6 +312,9 @@
 
 // WithRoute returns the row with another primary at a higher term.
 func (g Group) WithRoute(term uint64, primary string, fs []session.Fork) Group {
+	if g.Term != 0 {
+		g = g.WithoutLogLoss()
+	}
 	g.Term = term
 	g.Primary = primary
 	g.Forks = slices.Clone(fs)
--- a/internal/upstream/suspect.go
+++ b/internal/upstream/suspect.go
@@ -39,6 +39,7 @@
 	g = w.updateUnfinishedPromise(now, g)
 	g = w.updateNoPrimary(now, g)
 	g = w.updateReplicationStall(now, g)
+	g = w.updateLogLoss(g)
 	cause := w.kind.DetectFailure(w.failureEvidence(now, g))
 	switch {
 	case cause == "" && g.Suspect:
@@ -50,6 +51,7 @@
 		g.Cause = ""
 	case cause != "" && !g.Suspect:
 		g = g.WithSuspicion(now, cause)
+		w.announceFloor(g)
 		w.writeAuditRecord(w.suspicionRecord(now, g))
 	}
 	return g
--- a/internal/upstream/view.go
+++ b/internal/upstream/view.go
@@ -54,6 +54,7 @@
 		Fenced:       g.UnfinishedPromiseSince != 0 && w.kind.UsesLeases,
 		LastPausedAt: g.LastPausedAt,
 		EvidenceTTL:  w.kind.Timing.EvidenceTTL,
+		LogLostAt:    g.LogLostAt,
 	}
 	if n := len(g.Samples); n > 0 {
 		v.LatestSample = g.Samples[n-1]
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -177,6 +177,8 @@
 	case RouteLearned:
 		w.learnFloor(e.Group, e.Floor)
 		w.adoptRoute(now, e.Group, e.Term, e.Primary, nil, "told")
+	case CommitsAcknowledged:
+		w.applyCommitsAcknowledged(e)
 	case VMListed:
 		if s, ok := w.servers.Get(e.Server); ok {
 			w.servers.Put(e.Server, s.WithLeavingInVMList(e.Leaving))
@@ -238,6 +240,10 @@
 		g, _ := w.groups.Get(e.Group)
 		if len(g.Servers) == 0 {
 			g = g.WithFirstServer(now)
+			if w.kind.UsesLeases {
+				// This node does not know which servers were removed or restarted before.
+				g = g.WithLogLost(now)
+			}
 		}
 		w.groups.Put(e.Group, g.WithServer(e.Group, e.Server))
 		w.updateWatched(now, e.Group)
@@ -297,11 +303,9 @@
 	g, _ := w.groups.Get(s.Group)
 	w.writeAuditRecord(operator.Record{Kind: operator.KindLeaving, Group: s.Group, Server: server, Term: g.Term, Cause: "gone"}.
 		WithEvidence("led", fmt.Sprint(g.Primary == server)))
+	w.recordLogLoss(now, s)
 	w.servers.Delete(server)
-	if g.Primary != server && w.kind.UsesLeases {
-		// The primary may have acknowledged commits that only the removed replica had received.
-		g = g.WithFloor(s.Status.Position)
-	}
+	g, _ = w.groups.Get(s.Group)
 	w.groups.Put(s.Group, g.WithoutServer(server))
 	w.probeGroupSoon(now, s.Group)
 }
@@ -405,7 +409,7 @@
 // probeInterval returns the time between probes of a server. It is shorter while the group shows signs of a failure.
 func (w *Watch) probeInterval(now time.Duration, s Server) time.Duration {
 	g, _ := w.groups.Get(s.Group)
-	if _, ok := w.promotions.Get(s.Group); ok || g.Suspect ||
+	if _, ok := w.promotions.Get(s.Group); ok || g.Suspect || g.LogLostAt != 0 ||
 		w.kind.UsesLeases && (g.ReplicationStalledSince != 0 || g.NoPrimarySince != 0 || now < g.AlertUntil) {
 		return w.kind.Timing.ShortProbeInterval
 	}
