--- a/internal/fleet/lost_log_test.go
+++ b/internal/fleet/lost_log_test.go
@@ -45,7 +45,7 @@
 }
 
 // TestLostLog guards against a promotion that drops acknowledged commits after the only replica that held them has lost its log
-// (LOST, review/1).
+// (LOST, review/1 and review/2).
 func TestLostLog(t *testing.T) {
 	t.Run("removed while the primary runs", func(t *testing.T) {
 		c := qt.New(t)
@@ -64,4 +64,18 @@
 		assertAnswers(o, "READ a", []string{"19"}, "I")
 		assertNoViolations(c, d)
 	})
+	t.Run("restarted while the primary is down", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 3)
+		writeBeyond(c, d)
+		d.platform.ChangeServer("books", 0, metadata.Down(true))
+		d.platform.ChangeServer("books", 2, metadata.Down(true))
+		time.Sleep(300 * time.Millisecond)
+		d.platform.ChangeServer("books", 2, metadata.Restart())
+		assertStaysPrimary(c, d)
+		d.platform.ChangeServer("books", 0, metadata.Down(false))
+		d.platform.ChangeServer("books", 1, metadata.StopReceiving(false))
+		assertAnswers(connect(c, d.nodes[1], "ledger"), "READ a", []string{"19"}, "I")
+		assertNoViolations(c, d)
+	})
 }
--- a/internal/upstream/logloss_test.go
+++ b/internal/upstream/logloss_test.go
@@ -140,3 +140,58 @@
 	s.acknowledge(140)
 	s.c.Assert(s.announcedFloor, qt.Equals, position(1, 140))
 }
+
+// TestRestartedReplicaHeldCommits guards against a promotion of a replica that lacks acknowledged commits, after the replica that held
+// them has started again with nothing (LOST, review/2).
+func TestRestartedReplicaHeldCommits(t *testing.T) {
+	restart := func(s *simulation) {
+		s.setPosition("b", position(1, 0))
+		s.step(upstream.ServerConfigured{Server: "b", Group: "g", Zone: "z", Address: "b", Incarnation: 2})
+	}
+	t.Run("the primary has crashed", func(t *testing.T) {
+		s := deafReplica(qt.New(t))
+		s.fail("p")
+		s.acknowledge(140)
+		restart(s)
+		s.run(8 * time.Second)
+		assertNotPromoted(s)
+		s.recover("p")
+		s.run(time.Second)
+		s.c.Assert(s.view.Primary, qt.Equals, "p")
+		assertNotPromoted(s)
+	})
+	t.Run("the primary runs and no replica receives its log", func(t *testing.T) {
+		s := deafReplica(qt.New(t))
+		restart(s)
+		s.step(upstream.ServerSuspected{Server: "p", WriteStalled: true})
+		s.run(8 * time.Second)
+		assertNotPromoted(s)
+	})
+	t.Run("the primary leaves while the other replica is behind", func(t *testing.T) {
+		s := deafReplica(qt.New(t))
+		restart(s)
+		s.acknowledge(140)
+		s.step(s.configured("p", true))
+		s.run(4 * time.Second)
+		assertNotPromoted(s)
+		s.setPosition("a", position(1, 140))
+		s.run(2 * time.Second)
+		assertPromoteOrders(s, "a")
+	})
+	t.Run("the restarted replica has caught up when the primary fails", func(t *testing.T) {
+		s := deafReplica(qt.New(t))
+		restart(s)
+		s.setPosition("b", position(1, 140))
+		s.run(time.Second)
+		s.refusing["p"] = true
+		s.run(3 * time.Second)
+		assertPromoteOrders(s, "b")
+	})
+	t.Run("the primary has started again with nothing", func(t *testing.T) {
+		s := deafReplica(qt.New(t))
+		s.status["p"] = upstream.Status{Role: upstream.RoleReplica}
+		s.step(upstream.ServerConfigured{Server: "p", Group: "g", Zone: "z", Address: "p", Incarnation: 2})
+		s.run(3 * time.Second)
+		assertPromoteOrders(s, "b")
+	})
+}
