--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -61,13 +61,15 @@
 	// retryBudget is how many reads may be sent again.
 	retryBudget float64
 	rotation    int
-	draining    bool
-	jitter      func(limit time.Duration) time.Duration
-	onViolation func(invariant, detail string)
-	trace       func(id string) bool
-	stats       Stats
-	actions     []Action
-	systems     []system
+	// draining is set on a node that is leaving, transactionsDrained once open transactions may not go on either.
+	draining            bool
+	transactionsDrained bool
+	jitter              func(limit time.Duration) time.Duration
+	onViolation         func(invariant, detail string)
+	trace               func(id string) bool
+	stats               Stats
+	actions             []Action
+	systems             []system
 }
 
 type system struct {
@@ -263,6 +265,10 @@
 		l.updateLimits(e)
 	case DrainStarted:
 		l.drain()
+	case DrainTransactions:
+		l.drainTransactions(now)
+	case DrainDeadline:
+		l.answerAll(now)
 	default:
 		l.applyUpstream(now, e)
 	}
--- a/internal/caller/messages.go
+++ b/internal/caller/messages.go
@@ -136,6 +136,13 @@
 // DrainStarted reports that the node is draining.
 type DrainStarted struct{}
 
+// DrainTransactions reports that the time has passed in which open transactions may end on a draining node. From now on each of
+// their requests is refused, except one that ends its transaction by rolling it back.
+type DrainTransactions struct{}
+
+// DrainDeadline reports that a draining node is about to stop. Requests that still run are answered with what is known about them.
+type DrainDeadline struct{}
+
 func (SessionOpened) callerEvent()         {}
 func (SessionClosed) callerEvent()         {}
 func (RequestReceived) callerEvent()       {}
@@ -154,6 +161,8 @@
 func (ViewUpdated) callerEvent()           {}
 func (LimitsUpdated) callerEvent()         {}
 func (DrainStarted) callerEvent()          {}
+func (DrainTransactions) callerEvent()     {}
+func (DrainDeadline) callerEvent()         {}
 
 // Action is something that the lane's owner has to do.
 type Action interface{ callerAction() }
--- a/internal/caller/sessions.go
+++ b/internal/caller/sessions.go
@@ -91,6 +91,10 @@
 		l.refuseUnqueued(s, r, Refusal{Reason: ReasonDraining})
 		return
 	}
+	if s.TxConn != 0 && l.transactionsDrained {
+		l.rollBack(s, r)
+		return
+	}
 	if s.TxConn != 0 {
 		r = l.joinTransaction(&s, r)
 	}
@@ -103,8 +107,10 @@
 // answerFailedTransaction answers requests in a lost transaction until the caller ends it.
 func (l *Lane) answerFailedTransaction(s Session, r Request) {
 	if k := r.Statement.Kind; k == KindCommit || k == KindRollback {
-		l.sessions.Put(s.ID, s.WithoutTransaction())
+		s = s.WithoutTransaction()
+		l.sessions.Put(s.ID, s)
 		l.actions = append(l.actions, Complete{Session: s.ID, Seq: r.Seq, Tag: "ROLLBACK", Floor: s.Floor})
+		l.endIfClosing(s)
 		return
 	}
 	l.actions = append(l.actions, Refuse{
@@ -258,23 +264,6 @@
 	}
 }
 
-// drain ends all sessions at their next request boundary. It refuses queued requests: they have not run, and their callers
-// can send them to another node.
-func (l *Lane) drain() {
-	l.draining = true
-	for _, k := range l.requests.Keys() {
-		if r, _ := l.requests.Get(k); r.Phase == PhaseQueued && !r.Sent {
-			l.refuse(r, Refusal{Reason: ReasonDraining})
-		}
-	}
-	for _, k := range l.sessions.Keys() {
-		s, _ := l.sessions.Get(k)
-		s = s.WithClosing()
-		l.sessions.Put(k, s)
-		l.endIfClosing(s)
-	}
-}
-
 // endSessions closes transactions that were idle for too long.
 func endSessions(l *Lane, now time.Duration) {
 	l.sessions.TakeDirty()
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -15,11 +15,13 @@
 	requests   *table.Table[caller.SessionID, request]
 	queue      []caller.SessionID
 	nextStepAt time.Duration
-	jitter     func(limit time.Duration) time.Duration
-	trace      func(id string) bool
-	stats      Stats
-	actions    []Action
-	systems    []system
+	// draining is set once the node runs no further requests before it stops.
+	draining bool
+	jitter   func(limit time.Duration) time.Duration
+	trace    func(id string) bool
+	stats    Stats
+	actions  []Action
+	systems  []system
 }
 
 type system struct {
@@ -115,6 +117,10 @@
 		r.closeSession(e.Session)
 	case caller.RequestReceived:
 		r.receiveRequest(now, e)
+	case caller.DrainTransactions:
+		r.drain(now)
+	case caller.DrainDeadline:
+		r.answerAll(now)
 	case DispatchersAssigned:
 		r.assign(now, e)
 	case LinkUp:
--- a/internal/dispatcher/relay_test.go
+++ b/internal/dispatcher/relay_test.go
@@ -412,3 +412,43 @@
 		}
 	})
 }
+
+// TestDrainedRelay guards against requests that a stopping node has forwarded and whose callers get no answer (LOST, review/3).
+func TestDrainedRelay(t *testing.T) {
+	drained := func(c *qt.C) *harness {
+		h := newHarness(c)
+		h.step(caller.DrainTransactions{})
+		return h
+	}
+	t.Run("a request is refused", func(t *testing.T) {
+		h := drained(qt.New(t))
+		as := h.request(caller.KindRead)
+		assertNone[dispatcher.Forward](h.c, as)
+		assertRefused(h.c, as, caller.ReasonDraining, false)
+	})
+	t.Run("a request that waits for a dispatcher is refused", func(t *testing.T) {
+		h := newHarness(qt.New(t))
+		h.step(dispatcher.LinkLost{Peer: "near"}, dispatcher.LinkLost{Peer: "far"})
+		h.request(caller.KindWrite)
+		assertRefused(h.c, h.step(caller.DrainTransactions{}), caller.ReasonDraining, false)
+	})
+	t.Run("a transaction is rolled back", func(t *testing.T) {
+		h := newHarness(qt.New(t))
+		h.begin()
+		h.step(caller.DrainTransactions{})
+		as := h.request(caller.KindCommit)
+		assertRefused(h.c, as, caller.ReasonRolledBack, false)
+		assertOne[dispatcher.Abandon](h.c, as)
+	})
+	t.Run("a forwarded write is awaited and then in doubt", func(t *testing.T) {
+		h := newHarness(qt.New(t))
+		h.request(caller.KindWrite)
+		assertNone[caller.Refuse](h.c, h.step(caller.DrainTransactions{}))
+		assertRefused(h.c, h.step(caller.DrainDeadline{}), caller.ReasonUnknown, false)
+	})
+	t.Run("a forwarded read is interrupted", func(t *testing.T) {
+		h := newHarness(qt.New(t))
+		h.request(caller.KindRead)
+		assertRefused(h.c, h.step(caller.DrainDeadline{}), caller.ReasonInterrupted, false)
+	})
+}
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -22,9 +22,11 @@
 	return []string{CauseForwarded, CauseNotForwarded, CauseDispatcherLost, CauseDispatcherDeclined}
 }
 
-// The refusals of requests at a lost dispatcher: rolledBack for a transaction that had not reached its commit, unknown for work
-// that may have been committed.
+// The refusals of requests on a node that is leaving, leftBehind for those in an open transaction, and of requests at a lost
+// dispatcher: rolledBack for a transaction that had not reached its commit, unknown for work that may have been committed.
 var (
+	leaving    = caller.Refusal{Reason: caller.ReasonDraining}
+	leftBehind = caller.Refusal{Reason: caller.ReasonRolledBack, Detail: "this proxy is leaving"}
 	rolledBack = caller.Refusal{Reason: caller.ReasonRolledBack, Retry: retryHint, Detail: "the node that ran it is gone"}
 	unknown    = caller.Refusal{Reason: caller.ReasonUnknown, Detail: "the node that ran it is gone"}
 )
@@ -41,8 +43,16 @@
 		session: e.Session, seq: e.Seq, statement: e.Statement, arrived: now, queueDeadline: now + caller.QueueTimeout(class),
 		deadline: now + class.Deadline() + answerMargin, traced: r.trace(e.Statement.ID),
 	}
-	if s.transactionFailed {
-		r.failLostTransaction(now, s, q)
+	switch {
+	case s.transactionFailed:
+		r.failLostTransaction(now, s, q, rolledBack)
+		return
+	case r.draining && s.peer != "":
+		r.actions = append(r.actions, Abandon{Peer: s.peer, Session: q.session})
+		r.failLostTransaction(now, s, q, leftBehind)
+		return
+	case r.draining:
+		r.refuse(now, q, leaving, false)
 		return
 	}
 	if s.peer == "" {
@@ -60,7 +70,7 @@
 
 // failLostTransaction answers a request whose transaction was lost with its dispatcher. The transaction stays failed until the
 // caller ends it.
-func (r *Relay) failLostTransaction(now time.Duration, s callerSession, q request) {
+func (r *Relay) failLostTransaction(now time.Duration, s callerSession, q request, why caller.Refusal) {
 	r.sessions.Put(q.session, s.withTransaction(""))
 	if q.statement.Kind == caller.KindRollback {
 		r.actions = append(r.actions, caller.Complete{Session: q.session, Seq: q.seq, Tag: "ROLLBACK", Floor: s.floor})
@@ -70,7 +80,40 @@
 	if failed {
 		r.sessions.Put(q.session, s.withTransactionFailed())
 	}
-	r.refuse(now, q, rolledBack, failed)
+	r.refuse(now, q, why, failed)
+}
+
+// drain refuses requests from now on, and those that wait for a dispatcher. Each open transaction is rolled back at its next
+// request. Requests at a dispatcher are awaited.
+func (r *Relay) drain(now time.Duration) {
+	r.draining = true
+	for _, id := range r.requests.Keys() {
+		if q, _ := r.requests.Get(id); q.peer == "" {
+			r.refuseWaiting(now, q)
+		}
+	}
+	r.queue = nil
+}
+
+// refuseWaiting refuses a request that waits for a dispatcher. It may have run if an attempt was lost.
+func (r *Relay) refuseWaiting(now time.Duration, q request) {
+	why := q.refusal()
+	if why.NotRun() {
+		why = leaving
+	}
+	r.refuse(now, q, why, false)
+}
+
+// answerAll answers all requests. Those at a dispatcher are given up.
+func (r *Relay) answerAll(now time.Duration) {
+	r.drain(now)
+	for _, id := range r.requests.Keys() {
+		q, _ := r.requests.Get(id)
+		s, _ := r.sessions.Get(id)
+		q.attempts = maxAttempts
+		r.actions = append(r.actions, Abandon{Peer: q.peer, Session: id})
+		r.handleLoss(now, s, q)
+	}
 }
 
 // forward sends a request to a dispatcher.
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -174,9 +175,18 @@
 
 // run sends a statement and returns the rows of its answer, and an error code or else the transaction state after it.
 func (s *session) run(text string) (rows []string, outcome string) {
+	s.send(text)
+	return s.answer()
+}
+
+func (s *session) send(text string) {
 	s.statements++
 	_, err := fmt.Fprintf(s.conn, "QUERY %s %s\r\n", s.lastID(), text)
 	s.c.Assert(err, qt.IsNil)
+}
+
+// answer returns the answer to the last statement, as run does.
+func (s *session) answer() (rows []string, outcome string) {
 	for {
 		fs := strings.Fields(s.line())
 		switch fs[0] {
@@ -436,3 +446,71 @@
 	<-drained
 	c.Assert(d.platform.Log("books"), qt.DeepEquals, []string{"a=1"})
 }
+
+// beginDrain begins to drain a node and returns a channel that is closed at its end.
+func beginDrain(c *qt.C, n *Node) <-chan struct{} {
+	drained := make(chan struct{})
+	go func() {
+		n.Drain()
+		close(drained)
+	}()
+	waitUntil(c, "node is not ready", func() bool { return !n.Ready() })
+	return drained
+}
+
+// TestDrainAnswersAll guards against requests that a server runs and that a stopping node leaves without an answer (LOST, review/3).
+func TestDrainAnswersAll(t *testing.T) {
+	transactionsEnd := func(n *Node) time.Duration {
+		return time.Duration(n.settings.GraceMS)*time.Millisecond/2 + 100*time.Millisecond
+	}
+	t.Run("a commit after half of the grace period", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 1)
+		s := connect(c, d.nodes[0], "ledger")
+		assertAnswers(s, "BEGIN", nil, "T")
+		assertAnswers(s, "WRITE a 1", nil, "T")
+		drained := beginDrain(c, d.nodes[0])
+		time.Sleep(transactionsEnd(d.nodes[0]))
+		_, outcome := s.run("COMMIT")
+		c.Assert(outcome, qt.Equals, "ABORTED")
+		<-drained
+		c.Assert(d.platform.Log("books"), qt.HasLen, 0)
+	})
+	t.Run("a write that runs until the node stops", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 1)
+		s := connect(c, d.nodes[0], "ledger")
+		assertAnswers(s, "WRITE a 1", nil, "I")
+		d.platform.ChangeServer("books", 0, metadata.Work(3*time.Second))
+		s.send("WRITE b 2")
+		waitUntil(c, "a server runs the write", func() bool { return slices.Contains(d.platform.Log("books"), "b=2") })
+		drained := beginDrain(c, d.nodes[0])
+		c.Assert(s.conn.SetReadDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+		_, outcome := s.answer()
+		c.Assert(outcome, qt.Equals, "INDOUBT")
+		<-drained
+	})
+	t.Run("a new session after half of the grace period", func(t *testing.T) {
+		c := qt.New(t)
+		d := startDeployment(c, 1)
+		assertAnswers(connect(c, d.nodes[0], "ledger"), "BEGIN", nil, "T")
+		drained := beginDrain(c, d.nodes[0])
+		time.Sleep(transactionsEnd(d.nodes[0]))
+		c.Assert(connect(c, d.nodes[0], "ledger").greeting, qt.Matches, "ERROR BUSY .*")
+		<-drained
+	})
+	t.Run("a commit at another node after half of the grace period", func(t *testing.T) {
+		c := qt.New(t)
+		d := startScarceDeployment(c, 9)
+		_, n := d.dispatcherAndPeer(c)
+		s := connect(c, n, "ledger")
+		assertAnswers(s, "BEGIN", nil, "T")
+		assertAnswers(s, "WRITE a 1", nil, "T")
+		drained := beginDrain(c, n)
+		time.Sleep(transactionsEnd(n))
+		_, outcome := s.run("COMMIT")
+		c.Assert(outcome, qt.Equals, "ABORTED")
+		<-drained
+		c.Assert(d.platform.Log("books"), qt.HasLen, 0)
+	})
+}
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -168,8 +168,12 @@
 			r.answers.Outcome(dispatcher.Outcome{Session: j.Session, Seq: j.Seq, Declined: true})
 			return
 		}
-		s = r.node.listener.OpenRemoteSession(platform.Route{Group: j.Group, Post: l.Post}, j.Floor,
+		s, ok = r.node.listener.OpenRemoteSession(platform.Route{Group: j.Group, Post: l.Post}, j.Floor,
 			func(seq uint64, a platform.Answer) { r.sendAnswer(j.Session, s, seq, a) })
+		if !ok {
+			r.answers.Outcome(dispatcher.Outcome{Session: j.Session, Seq: j.Seq, Declined: true})
+			return
+		}
 		r.mu.Lock()
 		r.sessions[j.Session] = s
 		r.mu.Unlock()
--- a/internal/proxy/deployment_test.go
+++ b/internal/proxy/deployment_test.go
@@ -30,6 +30,9 @@
 	peers    []string
 }
 
+// drainMS is the drain time of the nodes.
+const drainMS = 5000
+
 func freeAddress(c *qt.C) string {
 	c.Helper()
 	address, err := loopback.FreeAddress()
@@ -74,7 +77,7 @@
 	c.Helper()
 	s := settings.Proxy{
 		Node: fmt.Sprintf("n%d", i), Zone: fmt.Sprintf("z%d", i), Listen: freeAddress(c), Status: freeAddress(c),
-		TokenKey: base64.StdEncoding.EncodeToString([]byte("0123456789abcdef")), UpstreamUser: "app", DrainMS: 5000,
+		TokenKey: base64.StdEncoding.EncodeToString([]byte("0123456789abcdef")), UpstreamUser: "app", DrainMS: drainMS,
 	}
 	s.Peer = d.peers[i]
 	for k, a := range d.peers {
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -234,29 +234,47 @@
 }
 
 // Drain refuses new sessions, ends open sessions between their transactions and then stops the node. It waits at most for the drain
-// time of the settings. It returns the number of sessions that were still open, which are cut off.
+// time of the settings, of which open transactions have the first half. It returns the number of sessions that were still open, which
+// are cut off once each request that was read is answered.
 func (n *Node) Drain() int {
 	n.listener.Drain()
 	n.thread.Post(peer.DrainStarted{})
 	n.WriteAuditRecord(operator.Record{Kind: operator.KindDrain, Cause: "begun"})
-	for _, l := range n.allLanes() {
-		l.Post(caller.DrainStarted{})
+	n.postToLanes(caller.DrainStarted{})
+	started, drainTime := n.clock(), time.Duration(n.settings.DrainMS)*time.Millisecond
+	open := n.awaitSessions(started + drainTime/2)
+	if open > 0 {
+		n.postToLanes(caller.DrainTransactions{})
+		open = n.awaitSessions(started + drainTime)
+	}
+	if open > 0 {
+		n.postToLanes(caller.DrainDeadline{})
 	}
-	deadline := n.clock() + time.Duration(n.settings.DrainMS)*time.Millisecond
+	n.WriteAuditRecord(operator.Record{Kind: operator.KindDrain, Cause: "finished"}.WithEvidence("cut_off", fmt.Sprint(open)))
+	time.Sleep(drainPollInterval)
+	n.stop()
+	return open
+}
+
+// awaitSessions waits until no session is open, the given time is reached or the node is stopped, and returns the number of open ones.
+func (n *Node) awaitSessions(until time.Duration) int {
 	open := n.openSessions()
-	for ; open > 0 && n.clock() < deadline; open = n.openSessions() {
+	for ; open > 0 && n.clock() < until; open = n.openSessions() {
 		select {
 		case <-n.ctx.Done():
 			return open
 		case <-time.After(drainPollInterval):
 		}
 	}
-	n.WriteAuditRecord(operator.Record{Kind: operator.KindDrain, Cause: "finished"}.WithEvidence("cut_off", fmt.Sprint(open)))
-	time.Sleep(drainPollInterval)
-	n.stop()
 	return open
 }
 
+func (n *Node) postToLanes(e caller.Event) {
+	for _, l := range n.allLanes() {
+		l.Post(e)
+	}
+}
+
 // openSessions returns the number of open sessions.
 func (n *Node) openSessions() int {
 	return int(n.listener.Stats().OpenSessions.Load())
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -323,3 +323,24 @@
 		text = string(b)
 	}
 }
+
+// TestDrainedTransaction guards against a stopping node that passes on the commit of a transaction and ends before its answer (LOST,
+// review/3).
+func TestDrainedTransaction(t *testing.T) {
+	c := qt.New(t)
+	d := startDeployment(c, unchanged)
+	a := d.connect(c, 0, "")
+	exec(c, a, "create table tickets (id integer primary key, what text)")
+	tx, err := a.Begin(context.Background())
+	c.Assert(err, qt.IsNil)
+	_, err = tx.Exec(context.Background(), "insert into tickets values (1, 'x')")
+	c.Assert(err, qt.IsNil)
+	cut := make(chan int, 1)
+	go func() { cut <- d.nodes[0].Drain() }()
+	time.Sleep(drainMS*time.Millisecond/2 + 200*time.Millisecond)
+	assertSQLState(c, tx.Commit(context.Background()), "40001")
+	c.Assert(<-cut, qt.Equals, 0)
+	b := d.connect(c, 1, "")
+	c.Assert(queryValue[int64](c, b, "select count(*) from tickets"), qt.Equals, int64(0))
+	assertNoViolations(c, d)
+}
--- a/internal/standin/metadata/group.go
+++ b/internal/standin/metadata/group.go
@@ -55,7 +55,9 @@
 	applyLag     time.Duration
 	receivedAt   []time.Time
 	// born counts the starts of the server.
-	born  int
+	born int
+	// work is the time from the run of a statement of a caller to its answer.
+	work  time.Duration
 	reads int
 }
 
@@ -144,6 +146,11 @@
 	return func(_ *Platform, s *server) { s.applyLag = d }
 }
 
+// Work sets the time from the run of a caller's statement to its answer.
+func Work(d time.Duration) ServerChange {
+	return func(_ *Platform, s *server) { s.work = d }
+}
+
 // Drain lists a server as draining.
 func Drain() ServerChange {
 	return func(p *Platform, s *server) { p.listServer(s, "draining") }
@@ -217,6 +224,13 @@
 	return slices.IndexFunc(g.servers, func(s *server) bool { return s.primary && s.term == g.term }), g.term
 }
 
+// HasRun reports whether a server has run the statement with the given id.
+func (p *Platform) HasRun(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hasRun[id]
+}
+
 // Log returns the writes in the log of the group's primary, in order, as "item=data".
 func (p *Platform) Log(name string) []string {
 	p.mu.Lock()
--- a/internal/standin/metadata/serve.go
+++ b/internal/standin/metadata/serve.go
@@ -41,6 +41,8 @@
 	txState   string
 	prepared  map[string]string
 	completed int
+	// work is the time until the answer to the last message.
+	work time.Duration
 }
 
 func (p *Platform) serve(s *server, c net.Conn) {
@@ -61,6 +63,7 @@
 		if !ok {
 			return
 		}
+		time.Sleep(b.work)
 		if _, err := fmt.Fprint(c, out); err != nil {
 			return
 		}
@@ -79,6 +82,7 @@
 		time.Sleep(pollInterval)
 	}
 	defer b.platform.mu.Unlock()
+	b.work = 0
 	switch command {
 	case "STARTUP":
 		fs := strings.Fields(rest)
@@ -91,7 +95,11 @@
 		}
 		return b.ready(""), true
 	case "QUERY":
-		_, query, _ := strings.Cut(rest, " ")
+		id, query, _ := strings.Cut(rest, " ")
+		if id != "-" {
+			b.work = b.server.work
+			b.platform.hasRun[id] = true
+		}
 		return b.runQuery(query)
 	default:
 		return "", false
--- a/internal/standin/metadata/store.go
+++ b/internal/standin/metadata/store.go
@@ -33,6 +33,8 @@
 	lastOrders map[string]order
 	calls      map[string]int
 	violations []string
+	// hasRun holds the ids of the callers' statements that a server has run.
+	hasRun map[string]bool
 }
 
 // StoreFaults are the injected faults of the store. They affect the calls of nodes, and never the writes of the operator and
@@ -61,7 +63,7 @@
 func New() *Platform {
 	return &Platform{
 		start: time.Now(), era: 1, changed: make(chan struct{}), rows: map[rowKey]row{}, groups: map[string]*group{},
-		lastOrders: map[string]order{}, calls: map[string]int{},
+		lastOrders: map[string]order{}, calls: map[string]int{}, hasRun: map[string]bool{},
 	}
 }
 
