--- a/internal/fleet/drain.go
+++ b/internal/fleet/drain.go
@@ -34,7 +34,7 @@
 	n.draining.Store(true)
 	n.thread.Post(peer.DrainStarted{})
 	n.notifyDraining()
-	grace := time.Duration(n.grace.Load()) * time.Millisecond
+	grace := time.Duration(n.grace.Load())
 	started := n.clock()
 	at := func(fraction float64) time.Duration { return started + time.Duration(fraction*float64(grace)) }
 	n.writeAuditRecord(operator.Record{Kind: operator.KindDrain, Cause: "begun"}.
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -153,7 +153,7 @@
 	}
 	n.ctx, n.stop = context.WithCancel(ctx)
 	n.routes.Store(newRouteTable(bundle.Bundle{}))
-	n.grace.Store(int64(s.GraceMS))
+	n.grace.Store(int64(s.Grace()))
 	n.store = platform.NewStore(s.Store)
 	n.store.EraChanged = n.changeEra
 	n.controlClient = platform.NewControlClient(s.Node)
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -461,7 +461,7 @@
 // TestDrainAnswersAll guards against requests that a server runs and that a stopping node leaves without an answer (LOST, review/3).
 func TestDrainAnswersAll(t *testing.T) {
 	transactionsEnd := func(n *Node) time.Duration {
-		return time.Duration(n.settings.GraceMS)*time.Millisecond/2 + 100*time.Millisecond
+		return n.settings.Grace()/2 + 100*time.Millisecond
 	}
 	t.Run("a commit after half of the grace period", func(t *testing.T) {
 		c := qt.New(t)
--- a/internal/fleet/reload.go
+++ b/internal/fleet/reload.go
@@ -19,8 +19,8 @@
 	if err := n.level.UnmarshalText([]byte(s.LogLevel)); err != nil {
 		return err
 	}
-	if n.grace.Swap(int64(s.GraceMS)) != int64(s.GraceMS) {
-		n.log.Info("grace period changed", zap.Int("grace_ms", s.GraceMS))
+	if n.grace.Swap(int64(s.Grace())) != int64(s.Grace()) {
+		n.log.Info("grace period changed", zap.Float64("grace_ms", s.GraceMS))
 	}
 	s.LogLevel, s.GraceMS = n.settings.LogLevel, n.settings.GraceMS
 	if !reflect.DeepEqual(s, n.settings) {
--- a/internal/fleet/reload_test.go
+++ b/internal/fleet/reload_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
@@ -45,7 +46,7 @@
 func (h *reloadTest) assertUnchanged() {
 	h.c.Helper()
 	h.c.Assert(h.level.Level(), qt.Equals, zap.InfoLevel)
-	h.c.Assert(h.node.grace.Load(), qt.Equals, int64(2000))
+	h.c.Assert(time.Duration(h.node.grace.Load()), qt.Equals, 2*time.Second)
 }
 
 func TestReload(t *testing.T) {
@@ -66,7 +67,7 @@
 		h := newReloadTest(qt.New(t))
 		h.c.Assert(h.reload(`2000, "log_level": "info"`, `3000, "log_level": "debug"`), qt.IsNil)
 		h.c.Assert(h.level.Level(), qt.Equals, zap.DebugLevel)
-		h.c.Assert(h.node.grace.Load(), qt.Equals, int64(3000))
+		h.c.Assert(time.Duration(h.node.grace.Load()), qt.Equals, 3*time.Second)
 		h.c.Assert(strings.Contains(h.log.String(), "restart"), qt.IsFalse)
 	})
 	t.Run("a change that needs a restart is logged", func(t *testing.T) {
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	"buckthornport.example/buckthornport/internal/jsonc"
 	"buckthornport.example/buckthornport/internal/metrics"
@@ -25,8 +26,8 @@
 	// Store is the address of the platform's metadata store, and Orders the address of its promotion orders, which may be empty.
 	Store  string `json:"store"`
 	Orders string `json:"orders"`
-	// GraceMS is the time in milliseconds that a draining node has before it must stop.
-	GraceMS int `json:"grace_ms"`
+	// GraceMS is the time in milliseconds that a draining node has before it must stop, possibly with a fraction.
+	GraceMS float64 `json:"grace_ms"`
 	// Cores is the number of processor cores that the node may use, possibly a fraction of one. Nodes with more cores take more
 	// of the work for other nodes.
 	Cores    float64 `json:"cores"`
@@ -61,7 +62,7 @@
 	if f.Cores <= 0 {
 		d.AddError("cores", "is not a positive number", "want a number of processor cores above zero")
 	}
-	if f.GraceMS < 1 {
+	if f.GraceMS <= 0 {
 		d.AddError("grace_ms", "is not a positive number", "want a number of milliseconds above zero")
 	}
 	return f, d.Err()
@@ -76,6 +77,11 @@
 	}
 }
 
+// Grace returns the time that a draining node has before it must stop.
+func (f FleetNode) Grace() time.Duration {
+	return time.Duration(f.GraceMS * float64(time.Millisecond))
+}
+
 // CPUWeight returns the node's cores in thousandths, and at least 1.
 func (f FleetNode) CPUWeight() uint32 {
 	return uint32(max(1, f.Cores*1000))
