--- a/cmd/buckthornport-fleet/main.go
+++ b/cmd/buckthornport-fleet/main.go
@@ -87,12 +87,17 @@
 	return c
 }
 
-// drainOnSignal drains the node on the first signal and stops it immediately on the second.
+// drainOnSignal drains the node on the first signal. A further SIGINT stops it immediately; a further SIGTERM changes nothing, as
+// whoever stops processes may send it more than once.
 func drainOnSignal(n *fleet.Node, signals <-chan os.Signal) {
 	<-signals
 	go n.Drain()
-	<-signals
-	n.Stop()
+	for s := range signals {
+		if s == os.Interrupt {
+			n.Stop()
+			return
+		}
+	}
 }
 
 // newLogger returns a logger that writes JSON lines to sink, which must not block.
--- a/cmd/buckthornport/main.go
+++ b/cmd/buckthornport/main.go
@@ -33,7 +33,7 @@
 type environment struct {
 	// ctx ends at the first SIGINT or SIGTERM, which asks for a graceful stop.
 	ctx context.Context
-	// forceStop is closed at the second signal, which asks to stop without draining.
+	// forceStop is closed at a SIGINT after the first signal, which asks to stop without draining.
 	forceStop <-chan struct{}
 }
 
@@ -67,7 +67,8 @@
 	}
 }
 
-// signals returns a context that ends at the first SIGINT or SIGTERM, and a channel that is closed at the second.
+// signals returns a context that ends at the first SIGINT or SIGTERM, and a channel that is closed at a further SIGINT. A further
+// SIGTERM changes nothing, as whoever stops processes may send it more than once.
 func signals() (context.Context, <-chan struct{}) {
 	ctx, stop := context.WithCancel(context.Background())
 	forceStop := make(chan struct{})
@@ -76,8 +77,12 @@
 	go func() {
 		<-c
 		stop()
-		<-c
-		close(forceStop)
+		for s := range c {
+			if s == os.Interrupt {
+				close(forceStop)
+				return
+			}
+		}
 	}()
 	return ctx, forceStop
 }
--- a/cmd/buckthornport/proxy.go
+++ b/cmd/buckthornport/proxy.go
@@ -67,8 +67,8 @@
 	return nil
 }
 
-// drainOnSignal drains the node on the first signal and stops it immediately on the second. It sends the number of callers that
-// were still connected when the drain ended.
+// drainOnSignal drains the node on the first signal and stops it immediately on a SIGINT after that. It sends the number of callers
+// that were still connected when the drain ended.
 func drainOnSignal(env *environment, n *proxy.Node, log *zap.Logger, disconnected chan<- int) {
 	<-env.ctx.Done()
 	go func() {
