--- a/cmd/buckthornport-fleet/stop_test.go
+++ b/cmd/buckthornport-fleet/stop_test.go
@@ -205,15 +205,6 @@
 	return p.signals, p.stopped, p.killed
 }
 
-func (p *proxyProcess) isRunning() bool {
-	select {
-	case <-p.ended:
-		return false
-	default:
-		return true
-	}
-}
-
 // stop stops a proxy as the platform does, and starts it again. The platform may send the signal more than once.
 func (s *soak) stop(p *proxyProcess, repeat time.Duration) {
 	p.signal(syscall.SIGTERM)
@@ -235,7 +226,8 @@
 	s.start(p)
 }
 
-// disturb plays changes in series that overlap: stops with one or more signals, reloads and configurations. One proxy is left alone.
+// disturb plays changes in series that overlap: stops with one or more signals, reloads and configurations. One proxy is left
+// alone.
 func (s *soak) disturb() {
 	var stops sync.WaitGroup
 	defer stops.Wait()
@@ -465,8 +457,8 @@
 	c.Assert(s.faults, qt.HasLen, 0, qt.Commentf("%s", strings.Join(s.faults, "\n")))
 }
 
-// TestSecondSignal guards against a second SIGTERM that ends a draining process, with the requests that run in it (LOST, requests that
-// end without an answer around SIGTERM at nyabugogo-stalls).
+// TestSecondSignal guards against a second SIGTERM that ends a draining process, with the requests that run in it (LOST, requests
+// that end without an answer around SIGTERM at nyabugogo-stalls).
 func TestSecondSignal(t *testing.T) {
 	start := func(c *qt.C) (*proxyProcess, *caller) {
 		s := newSoak(c, 1, 1, 0)
--- a/internal/caller/drain.go
+++ b/internal/caller/drain.go
@@ -1,8 +1,6 @@
 package caller
 
-import (
-	"time"
-)
+import "time"
 
 // leavingDetail is the detail of refusals by a node that is leaving.
 const leavingDetail = "this proxy is leaving"
@@ -24,9 +22,9 @@
 	}
 }
 
-// drainTransactions has each open transaction rolled back at its next request. A request that waits in a transaction is refused now;
-// one that runs is awaited.
-func (l *Lane) drainTransactions(time.Duration) {
+// drainTransactions has each open transaction rolled back at its next request. A request that waits in a transaction is refused
+// now; one that runs is awaited.
+func (l *Lane) drainTransactions() {
 	l.transactionsDrained = true
 	for _, k := range l.requests.Keys() {
 		if r, _ := l.requests.Get(k); r.TxConn != 0 && !r.Sent {
--- a/internal/caller/drain_test.go
+++ b/internal/caller/drain_test.go
@@ -10,23 +10,21 @@
 	"buckthornport.example/buckthornport/pkg/session"
 )
 
-var (
-	rollback = caller.Statement{Kind: caller.KindRollback, Class: write.Class}
-)
+var rollback = caller.Statement{Kind: caller.KindRollback, Class: write.Class}
 
-// beginTransaction opens a transaction of a session and leaves it idle.
-func (l *appointedLane) beginTransaction(id caller.SessionID) {
+// beginTransaction opens a transaction of session 1 and leaves it idle.
+func (l *appointedLane) beginTransaction() {
 	l.c.Helper()
-	as := l.request(id, begin)
+	as := l.request(1, begin)
 	s := only[caller.Send](l.c, as)
 	l.step(caller.Replied{Conn: s.Conn, Request: s.Request, TransactionOpen: true})
 	assertReleased(l, l.confirm(as, 1))
 }
 
-// writeInTransaction runs a write in a session's open transaction.
-func (l *appointedLane) writeInTransaction(id caller.SessionID) {
+// writeInTransaction runs a write in the open transaction of session 1.
+func (l *appointedLane) writeInTransaction() {
 	l.c.Helper()
-	s := only[caller.Send](l.c, l.request(id, write))
+	s := only[caller.Send](l.c, l.request(1, write))
 	l.step(caller.Replied{Conn: s.Conn, Request: s.Request, TransactionOpen: true})
 }
 
@@ -47,14 +45,14 @@
 	}
 	t.Run("a statement is refused and the transaction rolled back", func(t *testing.T) {
 		l := newAppointedLane(qt.New(t))
-		l.beginTransaction(1)
+		l.beginTransaction()
 		drain(l)
 		assertRolledBack(l, l.request(1, write), true)
 	})
 	t.Run("a commit is refused and the transaction rolled back", func(t *testing.T) {
 		l := newAppointedLane(qt.New(t))
-		l.beginTransaction(1)
-		l.writeInTransaction(1)
+		l.beginTransaction()
+		l.writeInTransaction()
 		drain(l)
 		as := l.request(1, commit)
 		assertRolledBack(l, as, false)
@@ -62,7 +60,7 @@
 	})
 	t.Run("a rollback is answered", func(t *testing.T) {
 		l := newAppointedLane(qt.New(t))
-		l.beginTransaction(1)
+		l.beginTransaction()
 		drain(l)
 		as := l.request(1, rollback)
 		l.c.Assert(only[caller.Complete](l.c, as).Tag, qt.Equals, "ROLLBACK")
@@ -71,8 +69,8 @@
 	})
 	t.Run("a commit that runs is awaited", func(t *testing.T) {
 		l := newAppointedLane(qt.New(t))
-		l.beginTransaction(1)
-		l.writeInTransaction(1)
+		l.beginTransaction()
+		l.writeInTransaction()
 		s := only[caller.Send](l.c, l.request(1, commit))
 		drain(l)
 		l.step(caller.Replied{Conn: s.Conn, Request: s.Request, Position: session.Position{Term: 1, Offset: 21}, Tag: "COMMIT"})
@@ -80,9 +78,9 @@
 	})
 	t.Run("a transaction goes on until then", func(t *testing.T) {
 		l := newAppointedLane(qt.New(t))
-		l.beginTransaction(1)
+		l.beginTransaction()
 		l.step(caller.DrainStarted{})
-		l.writeInTransaction(1)
+		l.writeInTransaction()
 	})
 }
 
@@ -90,8 +88,8 @@
 func TestDrainDeadline(t *testing.T) {
 	t.Run("a commit is in doubt", func(t *testing.T) {
 		l := newAppointedLane(qt.New(t))
-		l.beginTransaction(1)
-		l.writeInTransaction(1)
+		l.beginTransaction()
+		l.writeInTransaction()
 		l.request(1, commit)
 		assertRefusedAs(l, l.step(caller.DrainDeadline{}), caller.ReasonUnknown)
 	})
@@ -107,7 +105,7 @@
 	})
 	t.Run("a statement in a transaction is rolled back", func(t *testing.T) {
 		l := newAppointedLane(qt.New(t))
-		l.beginTransaction(1)
+		l.beginTransaction()
 		l.request(1, write)
 		assertRefusedAs(l, l.step(caller.DrainDeadline{}), caller.ReasonRolledBack)
 	})
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -266,7 +266,7 @@
 	case DrainStarted:
 		l.drain()
 	case DrainTransactions:
-		l.drainTransactions(now)
+		l.drainTransactions()
 	case DrainDeadline:
 		l.answerAll(now)
 	default:
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -234,8 +234,8 @@
 }
 
 // Drain refuses new sessions, ends open sessions between their transactions and then stops the node. It waits at most for the drain
-// time of the settings, of which open transactions have the first half. It returns the number of sessions that were still open, which
-// are cut off once each request that was read is answered.
+// time of the settings, of which open transactions have the first half. It returns the number of sessions that were still open,
+// which are cut off once each request that was read is answered.
 func (n *Node) Drain() int {
 	n.listener.Drain()
 	n.thread.Post(peer.DrainStarted{})
@@ -256,7 +256,8 @@
 	return open
 }
 
-// awaitSessions waits until no session is open, the given time is reached or the node is stopped, and returns the number of open ones.
+// awaitSessions waits until no session is open, the given time is reached or the node is stopped. It returns the number of open
+// sessions.
 func (n *Node) awaitSessions(until time.Duration) int {
 	open := n.openSessions()
 	for ; open > 0 && n.clock() < until; open = n.openSessions() {
--- a/internal/traffic/lane.go
+++ b/internal/traffic/lane.go
@@ -104,7 +104,8 @@
 		database: database, decisions: d, ctx: ctx,
 		ResponseReceived: func(caller.ResponseReceived) {}, ServerSuspected: func(caller.ServerSuspected) {}, Panicked: func(error) {},
 		CommitsAcknowledged: func(caller.CommitsAcknowledged) {},
-		upstreams:           map[caller.ConnID]UpstreamConn{}, dialing: map[caller.ConnID]context.CancelFunc{}, snapshotAt: -snapshotInterval,
+		upstreams:           map[caller.ConnID]UpstreamConn{}, dialing: map[caller.ConnID]context.CancelFunc{},
+		snapshotAt: -snapshotInterval,
 	}
 	l.loop = tick.NewLoop(clock, l.step, l.perform)
 	return l
--- a/internal/upstream/appointed.go
+++ b/internal/upstream/appointed.go
@@ -85,8 +85,8 @@
 	return ""
 }
 
-// hasSuccessor reports whether a replica responds, is not leaving and has reached the floor. While only the primary is known to hold
-// all acknowledged commits, no replica may succeed it.
+// hasSuccessor reports whether a replica responds, is not leaving and has reached the floor. While only the primary is known to
+// hold all acknowledged commits, no replica may succeed it.
 func (e FailureEvidence) hasSuccessor() bool {
 	return !e.needsPrimary() && slices.ContainsFunc(possibleReplicas(e), func(s Server) bool {
 		return s.Fresh(e.Now, e.Timing.FreshTTL) && !s.IsLeaving() && s.Status.Position.Covers(e.Group.Floor)
--- a/internal/upstream/logloss.go
+++ b/internal/upstream/logloss.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -11,8 +10,8 @@
 // In a group with leases, a commit is acknowledged once one replica has received it. A promotion that examines the logs of all
 // replicas therefore finds every acknowledged commit, unless the log that held it was lost before.
 
-// recordLogLoss records that the log of a server is lost. If it was a replica, it may have been the only one to receive commits that
-// the primary acknowledged.
+// recordLogLoss records that the log of a server is lost. If it was a replica, it may have been the only one to receive commits
+// that the primary acknowledged.
 func (w *Watch) recordLogLoss(now time.Duration, s Server) {
 	g, ok := w.groups.Get(s.Group)
 	if !ok || !w.kind.UsesLeases || s.Name == g.Primary {
@@ -59,8 +58,9 @@
 	}
 	for _, s := range w.serversOf(g) {
 		if s.Name != g.Primary && s.StatusKnown && s.Status.Role == RoleReplica && s.Status.Position.Covers(g.LogLossBound.Position) {
-			w.writeAuditRecord(operator.Record{Kind: operator.KindMember, Group: g.Name, Server: s.Name, Term: g.Term, Cause: "log_replaced"}.
-				WithEvidence("bound", g.LogLossBound.Position.String()).WithEvidence("holds", fmt.Sprint(s.Status.Position)))
+			w.writeAuditRecord(operator.Record{
+				Kind: operator.KindMember, Group: g.Name, Server: s.Name, Term: g.Term, Cause: "log_replaced",
+			}.WithEvidence("bound", g.LogLossBound.Position.String()).WithEvidence("holds", s.Status.Position.String()))
 			return g.WithoutLogLoss()
 		}
 	}
--- a/internal/upstream/logloss_test.go
+++ b/internal/upstream/logloss_test.go
@@ -32,9 +32,9 @@
 	}
 }
 
-// acknowledge reports that this node's traffic has acknowledged commits up to offset.
-func (s *simulation) acknowledge(offset uint64) {
-	s.step(upstream.CommitsAcknowledged{Group: "g", Position: position(1, offset)})
+// acknowledgeAll reports that this node's traffic has acknowledged all that the primary of deafReplica holds.
+func (s *simulation) acknowledgeAll() {
+	s.step(upstream.CommitsAcknowledged{Group: "g", Position: position(1, 140)})
 }
 
 func assertNotPromoted(s *simulation) {
@@ -65,7 +65,7 @@
 		s := deafReplica(qt.New(t))
 		s.fail("b", "p")
 		s.run(500 * time.Millisecond)
-		s.acknowledge(140)
+		s.acknowledgeAll()
 		s.step(upstream.ServerRemoved{Server: "b"})
 		s.run(8 * time.Second)
 		assertNotPromoted(s)
@@ -121,7 +121,7 @@
 		s.setPosition("a", position(1, 140))
 		s.fail("b")
 		s.refusing["p"] = true
-		s.acknowledge(140)
+		s.acknowledgeAll()
 		s.step(upstream.ServerRemoved{Server: "b"})
 		s.run(3 * time.Second)
 		assertPromoteOrders(s, "a")
@@ -137,12 +137,12 @@
 	s := deafReplica(qt.New(t))
 	s.step(upstream.ServerRemoved{Server: "b"})
 	s.c.Assert(s.view.FloorNeeded(), qt.IsTrue)
-	s.acknowledge(140)
+	s.acknowledgeAll()
 	s.c.Assert(s.announcedFloor, qt.Equals, position(1, 140))
 }
 
-// TestRestartedReplicaHeldCommits guards against a promotion of a replica that lacks acknowledged commits, after the replica that held
-// them has started again with nothing (LOST, review/2).
+// TestRestartedReplicaHeldCommits guards against a promotion of a replica that lacks acknowledged commits, after the replica that
+// held them has started again with nothing (LOST, review/2).
 func TestRestartedReplicaHeldCommits(t *testing.T) {
 	restart := func(s *simulation) {
 		s.setPosition("b", position(1, 0))
@@ -151,7 +151,7 @@
 	t.Run("the primary has crashed", func(t *testing.T) {
 		s := deafReplica(qt.New(t))
 		s.fail("p")
-		s.acknowledge(140)
+		s.acknowledgeAll()
 		restart(s)
 		s.run(8 * time.Second)
 		assertNotPromoted(s)
@@ -170,7 +170,7 @@
 	t.Run("the primary leaves while the other replica is behind", func(t *testing.T) {
 		s := deafReplica(qt.New(t))
 		restart(s)
-		s.acknowledge(140)
+		s.acknowledgeAll()
 		s.step(s.configured("p", true))
 		s.run(4 * time.Second)
 		assertNotPromoted(s)
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -285,8 +285,8 @@
 	w.probeGroupSoon(now, s.Group)
 }
 
-// applyRestart handles a new incarnation of a server, which knows nothing of the previous one's log. A promotion starts over, as one
-// of its promises may be that of the previous incarnation.
+// applyRestart handles a new incarnation of a server, which knows nothing of the previous one's log. A promotion starts over, as
+// one of its promises may be that of the previous incarnation.
 func (w *Watch) applyRestart(now time.Duration, s Server) {
 	w.writeAuditRecord(operator.Record{Kind: operator.KindMember, Group: s.Group, Server: s.Name, Cause: "restarted"})
 	w.recordLogLoss(now, s)
