--- a/internal/caller/drain_test.go
+++ b/internal/caller/drain_test.go
@@ -37,8 +37,8 @@
 	only[caller.Close](l.c, as)
 }
 
-// TestDrainedTransactions guards against statements of open transactions that a node passes on although it is about to stop, so that
-// their callers get no answer (LOST, review/3).
+// TestDrainedTransactions guards against statements of open transactions that a node passes on although it is about to stop, so
+// that their callers get no answer (LOST, review/3).
 func TestDrainedTransactions(t *testing.T) {
 	drain := func(l *appointedLane) {
 		l.step(caller.DrainStarted{}, caller.DrainTransactions{})
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -458,7 +458,8 @@
 	return drained
 }
 
-// TestDrainAnswersAll guards against requests that a server runs and that a stopping node leaves without an answer (LOST, review/3).
+// TestDrainAnswersAll guards against requests that a server runs and that a stopping node leaves without an answer (LOST,
+// review/3).
 func TestDrainAnswersAll(t *testing.T) {
 	transactionsEnd := func(n *Node) time.Duration {
 		return n.settings.Grace()/2 + 100*time.Millisecond
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -324,8 +324,8 @@
 	}
 }
 
-// TestDrainedTransaction guards against a stopping node that passes on the commit of a transaction and ends before its answer (LOST,
-// review/3).
+// TestDrainedTransaction guards against a stopping node that passes on the commit of a transaction and ends before its answer
+// (LOST, review/3).
 func TestDrainedTransaction(t *testing.T) {
 	c := qt.New(t)
 	d := startDeployment(c, unchanged)
--- a/internal/upstream/logloss_test.go
+++ b/internal/upstream/logloss_test.go
@@ -43,8 +43,8 @@
 	s.c.Assert(s.steppedDown, qt.IsFalse, qt.Commentf("audit records %v", s.auditRecords))
 }
 
-// TestRemovedReplicaHeldCommits guards against a promotion of a replica that lacks acknowledged commits, after the replica that held
-// them was removed (LOST, review/1).
+// TestRemovedReplicaHeldCommits guards against a promotion of a replica that lacks acknowledged commits, after the replica that
+// held them was removed (LOST, review/1).
 func TestRemovedReplicaHeldCommits(t *testing.T) {
 	t.Run("the primary runs all the time", func(t *testing.T) {
 		s := deafReplica(qt.New(t))
