The soak's processes end without the race detector's pause

Cause: a program that is built with the race detector waits for a second at its exit by default (atexit_sleep_ms), which is more than the tenth of the grace of 3 s that is left after the drain's end. The product has no such pause.

Change: the test's processes run with atexit_sleep_ms=0. The bound stays as it is.

--- a/cmd/buckthornport-fleet/stop_test.go
+++ b/cmd/buckthornport-fleet/stop_test.go
@@ -157,7 +157,8 @@
 		program = os.Args[0]
 	}
 	cmd := exec.Command(program, "--settings", p.file)
-	cmd.Env = append(os.Environ(), runAsProgramEnv+"=1")
+	// The race detector has a program wait for a second at its exit by default, which is no part of the product.
+	cmd.Env = append(os.Environ(), runAsProgramEnv+"=1", "GORACE=atexit_sleep_ms=0")
 	log, err := os.OpenFile(p.file+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	s.c.Assert(err, qt.IsNil)
 	defer func() { _ = log.Close() }()
