Tenants and their keys: in bundles, at callers' sessions, on the way to servers

Cause: servers got the node's name in place of the tenant's, keys were not looked at, and a key that was withdrawn stayed in use. Change: a bundle holds tenants with the digests of their keys, limits and public routes; a malformed tenant costs only itself. Requests carry their tenant through the relay to the lane, where connections belong to a tenant and an idle one of another makes room at the limit.

--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -35,10 +35,12 @@
 	requests         *table.Table[RequestID, Request]
 	conns            *table.Table[ConnID, Conn]
 	servers          *table.Table[string, Server]
-	confirmations    *table.Table[uint64, confirmation]
-	departures       *table.Table[int, departureStats]
-	answerTimes      *table.Table[string, classAnswerTime]
-	now              time.Duration
+	// opening counts the connections that are being opened.
+	opening       map[connKey]int
+	confirmations *table.Table[uint64, confirmation]
+	departures    *table.Table[int, departureStats]
+	answerTimes   *table.Table[string, classAnswerTime]
+	now           time.Duration
 	// replicaWaitUntil is the earliest time at which a read that waits for a replica may use the primary. Zero means that
 	// none waits.
 	replicaWaitUntil time.Duration
@@ -169,6 +171,7 @@
 		answerTimes:   table.New[string, classAnswerTime](),
 		leases:        table.New[string, lease](),
 		slotDemand:    map[string]demand{},
+		opening:       map[connKey]int{},
 		retryBudget:   maxRetryBudget,
 		jitter:        func(limit time.Duration) time.Duration { return limit / 2 },
 		onViolation:   func(string, string) {},
--- a/internal/caller/messages.go
+++ b/internal/caller/messages.go
@@ -172,6 +172,8 @@
 	Conn    ConnID
 	Server  string
 	Address string
+	// Tenant is the tenant that the server is told, "" for none.
+	Tenant string
 }
 
 // Close closes an upstream connection immediately.
--- a/internal/caller/pool.go
+++ b/internal/caller/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"buckthornport.example/buckthornport/internal/table"
@@ -9,19 +10,66 @@
 
 const neverDue = table.Never
 
-// openConn opens one more connection to a live server if more requests wait for it than connections are being opened, and if
-// the node's share and the delay after a failed attempt permit.
-func (l *Lane) openConn(now time.Duration, row Server, waiting int) {
-	if row.OpeningConns >= waiting || row.OpenConns+row.OpeningConns >= row.ConnLimit || now < row.RetryAt || !row.View.Alive {
+// connKey identifies the connections to a server that serve the same requests.
+type connKey struct {
+	server string
+	tenant string
+}
+
+// idleConn returns the idle connection to a server that was used last for a tenant.
+func (l *Lane) idleConn(row Server, tenant string) (ConnID, bool) {
+	for _, id := range slices.Backward(row.IdleConns) {
+		if c, _ := l.conns.Get(id); c.Tenant == tenant {
+			return id, true
+		}
+	}
+	return 0, false
+}
+
+// openConn opens one more connection to a live server if more of a tenant's requests wait for it than connections are being opened
+// for them, and if the node's share and the delay after a failed attempt permit. If the share is used up, an idle connection of
+// another tenant makes room.
+func (l *Lane) openConn(now time.Duration, k connKey, waiting int) {
+	row, _ := l.servers.Get(k.server)
+	if l.opening[k] >= waiting || now < row.RetryAt || !row.View.Alive {
 		return
 	}
+	if row.OpenConns+row.OpeningConns >= row.ConnLimit {
+		if !l.evictConn(row, k.tenant) {
+			return
+		}
+		row, _ = l.servers.Get(k.server)
+	}
 	l.lastConn++
 	l.ensure(row.OpenConns+row.OpeningConns < row.ConnLimit, "connections_within_share", func() string {
 		return fmt.Sprintf("server %s: open %d opening %d of %d", row.View.Name, row.OpenConns, row.OpeningConns, row.ConnLimit)
 	})
-	l.conns.Put(l.lastConn, Conn{ID: l.lastConn, Server: row.View.Name, Phase: ConnOpening, PhaseSince: now, OpenedAt: now})
-	l.servers.Put(row.View.Name, row.WithOpeningConns(1))
-	l.actions = append(l.actions, Open{Conn: l.lastConn, Server: row.View.Name, Address: row.View.Address})
+	l.conns.Put(l.lastConn, Conn{
+		ID: l.lastConn, Server: k.server, Tenant: k.tenant, Phase: ConnOpening, PhaseSince: now, OpenedAt: now,
+	})
+	l.servers.Put(k.server, row.WithOpeningConns(1))
+	l.opening[k]++
+	l.actions = append(l.actions, Open{Conn: l.lastConn, Server: k.server, Address: row.View.Address, Tenant: k.tenant})
+}
+
+// evictConn closes the connection to a server that has been idle for the longest time, among those of other tenants, and reports
+// whether there was one.
+func (l *Lane) evictConn(row Server, tenant string) bool {
+	for _, id := range row.IdleConns {
+		if c, _ := l.conns.Get(id); c.Tenant != tenant {
+			l.closeConn(id)
+			return true
+		}
+	}
+	return false
+}
+
+// openingEnded counts a connection that is no longer being opened.
+func (l *Lane) openingEnded(c Conn) {
+	k := connKey{server: c.Server, tenant: c.Tenant}
+	if l.opening[k]--; l.opening[k] <= 0 {
+		delete(l.opening, k)
+	}
 }
 
 func (l *Lane) connOpened(now time.Duration, id ConnID) {
@@ -32,6 +80,7 @@
 	}
 	row, _ := l.servers.Get(c.Server)
 	l.servers.Put(c.Server, row.WithOpeningConns(-1).WithOpenConns(1))
+	l.openingEnded(c)
 	c.OpenedAt = now
 	l.returnToPool(now, c)
 }
@@ -42,7 +91,7 @@
 	l.conns.Put(c.ID, c.WithPhase(now, ConnIdle).WithRequest(0, false).WithSession(0))
 	l.servers.Put(c.Server, row.WithIdleConn(c.ID))
 	end := min(now+ConnIdleTimeout, c.OpenedAt+ConnLifetime+l.jitter(ConnLifetime/4))
-	if l.policy.IdleTimeout > 0 {
+	if l.policy.IdleTimeout > 0 && c.Tenant == "" {
 		end = min(end, now+l.policy.IdleTimeout)
 	}
 	l.conns.SetDue(c.ID, end)
@@ -62,6 +111,7 @@
 	row = row.WithOpeningConns(-1).WithRetryAt(now + ConnectBackoff/2 + l.jitter(ConnectBackoff/2))
 	l.servers.Put(c.Server, row)
 	l.servers.SetDue(c.Server, row.RetryAt)
+	l.openingEnded(c)
 	l.conns.Delete(id)
 }
 
@@ -97,6 +147,7 @@
 	switch c.Phase {
 	case ConnOpening:
 		row = row.WithOpeningConns(-1)
+		l.openingEnded(c)
 	case ConnBusy:
 		row = row.WithOpenConns(-1)
 		if c.Request != 0 {
@@ -122,7 +173,7 @@
 			continue
 		}
 		row, _ := l.servers.Get(c.Server)
-		if l.policy.IdleTimeout > 0 && len(row.IdleConns) <= l.policy.MinIdle &&
+		if l.policy.IdleTimeout > 0 && c.Tenant == "" && len(row.IdleConns) <= l.policy.MinIdle &&
 			now < min(c.PhaseSince+ConnIdleTimeout, c.OpenedAt+ConnLifetime) {
 			l.conns.SetDue(k, min(c.PhaseSince+ConnIdleTimeout, c.OpenedAt+ConnLifetime))
 			continue
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -157,14 +157,14 @@
 	l.conns.TakeDirty()
 	l.servers.TakeDue(now)
 	l.replicaWaitUntil = 0
-	waiting := map[string]int{}
+	waiting := map[connKey]int{}
 	for q := range l.queues {
 		l.dispatch(now, QueueID(q), waiting)
 	}
 }
 
 // dispatch starts requests from the head of a queue. It skips at most maxQueueScan requests that cannot start yet.
-func (l *Lane) dispatch(now time.Duration, q QueueID, waiting map[string]int) {
+func (l *Lane) dispatch(now time.Duration, q QueueID, waiting map[connKey]int) {
 	queue := l.queues[q]
 	var skipped [maxQueueScan]RequestID
 	n, i := 0, 0
@@ -200,7 +200,7 @@
 }
 
 // startRequest sends a request if it can, and reports whether the request left its queue.
-func (l *Lane) startRequest(now time.Duration, r Request, waiting map[string]int) bool {
+func (l *Lane) startRequest(now time.Duration, r Request, waiting map[connKey]int) bool {
 	s, ok := l.sessions.Get(r.Session)
 	if !ok {
 		l.requests.Delete(r.ID)
@@ -221,14 +221,15 @@
 		if l.waitsForReplica(now, r, cs, row) {
 			break
 		}
-		if n := len(row.IdleConns); n > 0 {
-			l.send(now, s, r, row, row.IdleConns[n-1])
+		if id, ok := l.idleConn(row, r.Statement.Tenant); ok {
+			l.send(now, s, r, row, id)
 			return true
 		}
 		if !opened {
 			opened = true
-			waiting[row.View.Name]++
-			l.openConn(now, row, waiting[row.View.Name])
+			k := connKey{server: row.View.Name, tenant: r.Statement.Tenant}
+			waiting[k]++
+			l.openConn(now, k, waiting[k])
 		}
 	}
 	if len(cs) > 0 {
--- a/internal/caller/rows.go
+++ b/internal/caller/rows.go
@@ -42,6 +42,8 @@
 	ReadOnly bool
 	// Writes is set if a batch which begins or commits a transaction also writes in it.
 	Writes bool
+	// Tenant is the tenant that sent the request, "" for none.
+	Tenant string
 }
 
 // Keyed reports whether the request carries an idempotency key, which is stored with its work.
@@ -349,8 +351,10 @@
 
 // Conn is the row of one upstream connection.
 type Conn struct {
-	ID      ConnID
-	Server  string
+	ID     ConnID
+	Server string
+	// Tenant is the tenant whose requests the connection serves, "" for requests without one.
+	Tenant  string
 	Phase   ConnPhase
 	Request RequestID
 	Session SessionID
--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"time"
 
+	"go.uber.org/zap"
+
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/control"
 	"buckthornport.example/buckthornport/internal/dispatcher"
@@ -57,7 +59,7 @@
 	}
 	d := control.NewNode(n.settings.Node, bundle.Bundle{}, w, m, o)
 	d.WallTime = n.wallTime
-	d.AcceptBundle = acceptNewerConfig
+	d.AcceptBundle = n.acceptNewerConfig
 	d.GossipBundles = false
 	if d.Mirror, err = newMirror(); err != nil {
 		return err
@@ -70,14 +72,17 @@
 
 // acceptNewerConfig accepts a configuration that is newer than the current one. It checks no signatures, because the store's
 // acceptance of a configuration replaces the operator's signature.
-func acceptNewerConfig(current bundle.Bundle, encoded []byte) (bundle.Bundle, error) {
-	b, err := platform.DecodeConfig("platform", encoded)
+func (n *Node) acceptNewerConfig(current bundle.Bundle, encoded []byte) (bundle.Bundle, error) {
+	b, rejected, err := platform.DecodeConfig("platform", encoded)
 	switch {
 	case err != nil:
 		return bundle.Bundle{}, err
 	case b.Version <= current.Version:
 		return bundle.Bundle{}, control.ErrBundleActive
 	}
+	if len(rejected) > 0 {
+		n.log.Warn("tenants left out of the configuration", zap.Uint64("version", b.Version), zap.Errors("errors", rejected))
+	}
 	return b, nil
 }
 
@@ -270,20 +275,24 @@
 	return l, nil
 }
 
-// routeFor returns the route for new statements of a database, and false if the active configuration has none.
-func (n *Node) routeFor(database string) (platform.Route, bool) {
+// routeFor returns the route for new statements of a database by the active configuration.
+func (n *Node) routeFor(database string, key bundle.KeyDigest) (platform.Route, error) {
 	r := n.routes.Load()
 	v, ok := r.routes[database]
 	if !ok {
-		return platform.Route{}, false
+		return platform.Route{}, platform.ErrNoDatabase
+	}
+	tenant, known := r.tenants[key]
+	if r.bundle.KeysRequired && !v.Public && !known {
+		return platform.Route{}, platform.ErrUnknownKey
 	}
-	route := platform.Route{Group: v.Group, Class: v.Class, Version: r.bundle.Version}
+	route := platform.Route{Group: v.Group, Class: v.Class, Version: r.bundle.Version, Tenant: tenant}
 	if l, ok := n.laneFor(v.Group); ok {
 		route.Post = l.Post
 	} else {
 		route.Post, route.Relayed = n.relayPost(v.Group), true
 	}
-	return route, true
+	return route, nil
 }
 
 // laneFor returns the lane of a group, if this node serves the group.
--- a/internal/fleet/events_test.go
+++ b/internal/fleet/events_test.go
@@ -14,6 +14,7 @@
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/standin/metadata"
+	"buckthornport.example/buckthornport/pkg/bundle"
 )
 
 // assertExplained checks that the explanation of a session's last statement contains the cause and an event near it.
@@ -46,8 +47,8 @@
 		d.platform.Put("op", "config", fmt.Appendf(nil, config, 4,
 			`,{"Name":"r4","Host":"short","Kind":"primary","TimeoutMs":700,"Service":"books"}`))
 		waitUntil(c, "the route is active", func() bool {
-			_, ok := d.nodes[0].routeFor("short")
-			return ok
+			_, err := d.nodes[0].routeFor("short", bundle.KeyDigest{})
+			return err == nil
 		})
 		d.platform.ChangeServer("books", 1, metadata.Unresponsive(true))
 		d.platform.ChangeServer("books", 2, metadata.Unresponsive(true))
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -99,14 +99,15 @@
 	slots int
 }
 
-// routeTable is the active bundle with its routes indexed by database.
+// routeTable is the active bundle with its routes indexed by database, and the names of its tenants by their keys' digests.
 type routeTable struct {
-	bundle bundle.Bundle
-	routes map[string]bundle.Route
+	bundle  bundle.Bundle
+	routes  map[string]bundle.Route
+	tenants map[bundle.KeyDigest]string
 }
 
 func newRouteTable(b bundle.Bundle) *routeTable {
-	r := &routeTable{bundle: b, routes: make(map[string]bundle.Route, len(b.Routes))}
+	r := &routeTable{bundle: b, routes: make(map[string]bundle.Route, len(b.Routes)), tenants: b.TenantKeys()}
 	for _, v := range b.Routes {
 		r.routes[v.Database] = v
 	}
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -269,13 +269,13 @@
 		assertAnswers(s, "READ a", []string{"none"}, "I")
 		d.platform.Put("op", "config", fmt.Appendf(nil, config, 9, `,{"Name":"r4","Host":"new","Kind":"primary","Service":"books"}`))
 		waitUntil(c, "the new route is active", func() bool {
-			_, ok := d.nodes[0].routeFor("new")
-			return ok
+			_, err := d.nodes[0].routeFor("new", bundle.KeyDigest{})
+			return err == nil
 		})
 		d.platform.Put("op", "config", []byte(`{"Version":10,"Routes":[],"Services":[]}`))
 		waitUntil(c, "the routes are removed", func() bool {
-			_, ok := d.nodes[0].routeFor("ledger")
-			return !ok
+			_, err := d.nodes[0].routeFor("ledger", bundle.KeyDigest{})
+			return err != nil
 		})
 		_, outcome := s.run("READ a")
 		c.Assert(outcome, qt.Equals, "NODB")
@@ -337,8 +337,8 @@
 			d.platform.Put("op", "config", fmt.Appendf(nil, config, 5, `,{"Name":"r4","Host":"new","Kind":"primary","Service":"books"}`))
 			d.platform.SetStoreFaults(metadata.StoreFaults{})
 			waitUntil(c, "the change is active", func() bool {
-				_, ok := d.nodes[0].routeFor("new")
-				return ok
+				_, err := d.nodes[0].routeFor("new", bundle.KeyDigest{})
+				return err == nil
 			})
 			assertAnswers(s, "READ a", []string{"1"}, "I")
 		})
@@ -408,8 +408,8 @@
 			}
 		}
 		waitUntil(c, "the last configuration is active", func() bool {
-			_, ok := d.nodes[0].routeFor("more349")
-			return ok
+			_, err := d.nodes[0].routeFor("more349", bundle.KeyDigest{})
+			return err == nil
 		})
 		assertAnswers(connect(c, d.nodes[0], "more349"), "READ a", []string{"349"}, "I")
 	})
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -27,8 +27,44 @@
 // which they began.
 func (n *Node) adoptBundle(b bundle.Bundle, _ []byte) {
 	n.updateAssignments(b)
-	n.routes.Store(newRouteTable(b))
+	old := n.routes.Load()
+	next := newRouteTable(b)
+	n.routes.Store(next)
 	n.updateLimits()
+	if next.restrictsAccess(old) {
+		n.revokeSessions()
+	}
+}
+
+// restrictsAccess reports whether a session that had access by an older configuration may have lost it.
+func (r *routeTable) restrictsAccess(old *routeTable) bool {
+	if !r.bundle.KeysRequired {
+		return false
+	}
+	for k := range old.tenants {
+		if _, ok := r.tenants[k]; !ok {
+			return true
+		}
+	}
+	return !old.bundle.KeysRequired || slices.ContainsFunc(old.bundle.Routes, func(o bundle.Route) bool {
+		v, ok := r.routes[o.Database]
+		return ok && o.Public && !v.Public
+	})
+}
+
+// revokeSessions closes the sessions whose keys are no longer valid.
+func (n *Node) revokeSessions() {
+	revoked := 0
+	for _, s := range n.listener.Sessions() {
+		if !s.HasAccess() {
+			s.Revoke()
+			revoked++
+		}
+	}
+	if revoked > 0 {
+		n.writeAuditRecord(operator.Record{Kind: operator.KindRefusal, Cause: "key_revoked"}.
+			WithEvidence("sessions", strconv.Itoa(revoked)))
+	}
 }
 
 // ensureLane opens the lane of a group, unless it is open already. A lane stays open when other nodes take the group over, for the
--- a/internal/peerlink/codec.go
+++ b/internal/peerlink/codec.go
@@ -64,7 +64,7 @@
 	return &Job{
 		Session: uint64(j.Session), Seq: j.Seq, Group: j.Group, Floor: encodePosition(j.Floor),
 		Joined: j.Joined, Version: s.Version, Id: s.ID, Text: j.Text, Shape: j.Shape, Writes: j.Writes, Names: j.Names,
-		Values: j.Values,
+		Values: j.Values, Tenant: s.Tenant,
 		Class: &Class{
 			Name: s.Class.Name, DeadlineMs: s.Class.DeadlineMS, Priority: int64(s.Class.Priority),
 			IdleTransactionMs: s.Class.IdleTransactionMS, ObjectiveMs: s.Class.ObjectiveMS, MaxAgeMs: s.Class.MaxAgeMS,
@@ -79,7 +79,7 @@
 		Forward: dispatcher.Forward{
 			Session: caller.SessionID(p.Session), Seq: p.Seq, Group: p.Group, Floor: decodePosition(p.Floor), Joined: p.Joined,
 			Statement: caller.Statement{
-				Version: p.Version, ID: p.Id,
+				Version: p.Version, ID: p.Id, Tenant: p.Tenant,
 				Class: bundle.Class{
 					Name: v.GetName(), DeadlineMS: v.GetDeadlineMs(), Priority: int(v.GetPriority()),
 					IdleTransactionMS: v.GetIdleTransactionMs(), ObjectiveMS: v.GetObjectiveMs(), MaxAgeMS: v.GetMaxAgeMs(),
--- a/pkg/bundle/bundle.go
+++ b/pkg/bundle/bundle.go
@@ -29,6 +29,9 @@
 	// Routes maps database names to groups, on platforms that configure routes. Without routes, a database has the name of
 	// its group.
 	Routes []Route `json:"routes,omitempty"`
+	// KeysRequired is set if callers present a key, which identifies their tenant, on all routes that are not public.
+	KeysRequired bool     `json:"keys_required,omitempty"`
+	Tenants      []Tenant `json:"tenants,omitempty"`
 }
 
 // Route sends the requests for a database to a group and assigns them all to one class.
@@ -37,6 +40,8 @@
 	Database string `json:"database"`
 	Group    string `json:"group"`
 	Class    Class  `json:"class"`
+	// Public is set if callers need no key.
+	Public bool `json:"public,omitempty"`
 }
 
 // Zone is an availability zone and its region.
@@ -108,6 +113,8 @@
 	User      string   `json:"user"`
 	Secret    string   `json:"secret"`
 	Databases []string `json:"databases"`
+	// Tenant is the tenant that the caller belongs to, "" for none.
+	Tenant string `json:"tenant,omitempty"`
 }
 
 // Key is the base64 ed25519 public key of a person who may sign bundles.
--- a/pkg/bundle/bundle_test.go
+++ b/pkg/bundle/bundle_test.go
@@ -182,7 +182,7 @@
 		for i := range v.NumField() {
 			eachField(name+"."+v.Type().Field(i).Name, v.Field(i), f)
 		}
-	case reflect.Slice:
+	case reflect.Slice, reflect.Array:
 		for i := range v.Len() {
 			eachField(fmt.Sprintf("%s[%d]", name, i), v.Index(i), f)
 		}
@@ -203,8 +203,10 @@
 		v.SetBool(!v.Bool())
 	case reflect.Int:
 		v.SetInt(v.Int() + 1)
-	case reflect.Uint64:
+	case reflect.Uint64, reflect.Uint8:
 		v.SetUint(v.Uint() + 1)
+	case reflect.Float64:
+		v.SetFloat(v.Float() + 1)
 	default:
 		panic("no change of a " + v.Kind().String())
 	}
@@ -222,7 +224,8 @@
 				Name: "g", Servers: []bundle.Server{{Name: "s", Zone: "z", Address: "10.0.0.1:5432"}}, Classes: []bundle.Class{class()},
 			}},
 			Callers: []bundle.Caller{{User: "u", Databases: []string{"d"}}}, Keys: []bundle.Key{{Name: "k"}},
-			Routes: []bundle.Route{{Name: "r", Database: "d", Group: "g", Class: class()}},
+			Routes:  []bundle.Route{{Name: "r", Database: "d", Group: "g", Class: class()}},
+			Tenants: []bundle.Tenant{{Name: "t", Keys: []bundle.KeyDigest{{}}, RatePerS: 1, Burst: 1}},
 		}
 	}
 	after := full()
--- a/pkg/bundle/check.go
+++ b/pkg/bundle/check.go
@@ -53,6 +53,7 @@
 	}
 	c.checkDuplicateServers()
 	c.checkCallers(groups)
+	c.checkTenants()
 	c.checkKeys()
 }
 
@@ -155,6 +156,18 @@
 					"want the name of a group")
 			}
 		}
+		if _, ok := c.bundle.Tenant(k.Tenant); k.Tenant != "" && !ok {
+			c.document.AddError(at+".tenant", fmt.Sprintf("unknown tenant %q", k.Tenant), "want the name of a tenant")
+		}
+	}
+}
+
+func (c *checker) checkTenants() {
+	t := NewTenantChecker()
+	for i, v := range c.bundle.Tenants {
+		if field, mistake := t.Check(v); mistake != "" {
+			c.document.AddError(fmt.Sprintf("tenants[%d].%s", i, field), mistake, "want each name and key once, and numbers from zero")
+		}
 	}
 }
 
--- a/pkg/bundle/diff.go
+++ b/pkg/bundle/diff.go
@@ -27,6 +27,7 @@
 		}
 	}
 	out = append(out, diffRoutes(before.Routes, after.Routes)...)
+	out = append(out, diffTenants(before, after)...)
 	out = append(out, diffCallers(before, after)...)
 	return append(out, diffKeys(before, after)...)
 }
@@ -71,8 +72,58 @@
 
 // describe returns the rules of the route as a phrase.
 func (r Route) describe() string {
-	return fmt.Sprintf("database %s goes to group %s, class %s (%s) with %s", r.Database, r.Group, r.Class.Name,
-		r.Class.Match.describe(), r.Class.describe())
+	access := ""
+	if r.Public {
+		access = ", without a key"
+	}
+	return fmt.Sprintf("database %s goes to group %s, class %s (%s) with %s%s", r.Database, r.Group, r.Class.Name,
+		r.Class.Match.describe(), r.Class.describe(), access)
+}
+
+func diffTenants(before, after Bundle) []string {
+	var out []string
+	if before.KeysRequired != after.KeysRequired {
+		need := map[bool]string{true: "need a tenant's key", false: "need no key any more"}
+		out = append(out, fmt.Sprintf("Callers of routes that are not public %s.", need[after.KeysRequired]))
+	}
+	for _, t := range after.Tenants {
+		old, ok := before.Tenant(t.Name)
+		if !ok {
+			out = append(out, fmt.Sprintf("Tenant %s is added with %d keys and %s.", t.Name, len(t.Keys), t.describeLimit()))
+			continue
+		}
+		added, removed := countMissing(t.Keys, old.Keys), countMissing(old.Keys, t.Keys)
+		if added+removed > 0 {
+			out = append(out, fmt.Sprintf("Tenant %s: %d keys are added and %d withdrawn.", t.Name, added, removed))
+		}
+		if old.describeLimit() != t.describeLimit() {
+			out = append(out, fmt.Sprintf("Tenant %s has %s instead of %s.", t.Name, t.describeLimit(), old.describeLimit()))
+		}
+	}
+	for _, t := range before.Tenants {
+		if _, ok := after.Tenant(t.Name); !ok {
+			out = append(out, fmt.Sprintf("Tenant %s is removed with %d keys.", t.Name, len(t.Keys)))
+		}
+	}
+	return out
+}
+
+// countMissing returns how many of the keys are not among the others.
+func countMissing(keys, others []KeyDigest) int {
+	n := 0
+	for _, k := range keys {
+		if !slices.Contains(others, k) {
+			n++
+		}
+	}
+	return n
+}
+
+func (t Tenant) describeLimit() string {
+	if !t.Limited() {
+		return "no limit"
+	}
+	return fmt.Sprintf("a limit of %v operations per second and a burst of %v", t.RatePerS, t.Burst)
 }
 
 func diffGroup(a, b Group) []string {
@@ -206,6 +257,9 @@
 		if old.Secret != c.Secret {
 			out = append(out, fmt.Sprintf("The password of user %s changes.", c.User))
 		}
+		if old.Tenant != c.Tenant {
+			out = append(out, fmt.Sprintf("User %s belongs to tenant %q instead of %q.", c.User, c.Tenant, old.Tenant))
+		}
 	}
 	for _, c := range a.Callers {
 		if _, ok := b.Caller(c.User); !ok {
