PostgreSQL front: users belong to tenants, and lose access with the bundle that removes them

Cause: a session of a user that a new bundle removes went on until it ended, and requests carried no tenant. Change: Listener.Access is asked at the start of each transaction; requests carry the tenant of the bundle's caller.

--- a/internal/pgwire/caller.go
+++ b/internal/pgwire/caller.go
@@ -33,6 +33,7 @@
 	conn         net.Conn
 	frames       *frameReader
 	user         string
+	tenant       string
 	database     string
 	cancelSecret uint32
 	statements   map[string]prepared
@@ -202,6 +203,9 @@
 	if r.info.Local {
 		return c.answerLocally(r)
 	}
+	if c.txStatus == 'I' && !c.checkAccess() {
+		return false
+	}
 	c.seq++
 	x := &Exchange{caller: c, seq: c.seq, request: r, settings: c.settings}
 	c.mu.Lock()
@@ -215,6 +219,18 @@
 	return true
 }
 
+// checkAccess sets the tenant for the next transaction. If the user may no longer use the database, it tells the caller and returns
+// false.
+func (c *CallerConn) checkAccess() bool {
+	t, err := c.listener.Access(c.user, c.database)
+	if err != nil {
+		c.write(errorBytes("FATAL", "28000", err.Error(), "", "", 0))
+		return false
+	}
+	c.tenant = t
+	return true
+}
+
 // awaitAnswer waits for the answer to the current request. It returns false if the connection was closed. It first waits for more
 // data from the caller: this read fails at once if the caller disconnects during the request, so no second goroutine is needed to
 // detect that.
@@ -252,7 +268,7 @@
 // describe returns what the lane's decisions need to know about a request.
 func (c *CallerConn) describe(r request) caller.Statement {
 	class, version := c.listener.Classify(c.database, r.info.Verb, r.info.Tables)
-	s := caller.Statement{Kind: r.info.Kind, Class: class, Version: version, Writes: r.batchWrites(), ID: c.requestID(c.seq)}
+	s := caller.Statement{Kind: r.info.Kind, Class: class, Version: version, Writes: r.batchWrites(), ID: c.requestID(c.seq), Tenant: c.tenant}
 	if class.NotRepeatable && (r.info.Kind == caller.KindWrite || s.Writes) {
 		s.Key = c.takeKey()
 	}
--- a/internal/pgwire/listener.go
+++ b/internal/pgwire/listener.go
@@ -43,6 +43,9 @@
 	// Authorize returns the credentials of a user, or an error if the user may not use the database. The text of the error is sent
 	// to the caller.
 	Authorize func(user, database string) (Credentials, error)
+	// Access returns the tenant of a user, "" for none, or an error if the user may no longer use the database. The text of the error
+	// is sent to the caller. It is called at the start of each transaction.
+	Access func(user, database string) (tenant string, err error)
 	// Classify returns the class of a statement and the version of the bundle that defines it.
 	Classify func(database, verb string, tables []string) (bundle.Class, uint64)
 	// Panicked reports a panic that cost the connection of a caller.
@@ -86,6 +89,7 @@
 	l := &Listener{
 		signer: signer, statements: NewStatementCache(), keyPrefix: keyPrefix, callers: map[uint32]*CallerConn{},
 		tls: func() *tls.Config { return nil }, Panicked: func(error) {},
+		Access: func(string, string) (string, error) { return "", nil },
 	}
 	for _, o := range opts {
 		if err := o(l); err != nil {
--- a/internal/proxy/assemble.go
+++ b/internal/proxy/assemble.go
@@ -185,6 +185,10 @@
 		return l.Post, true
 	}
 	n.listener.Authorize = n.authorize
+	n.listener.Access = func(user, database string) (string, error) {
+		c, err := n.permittedCaller(user, database)
+		return c.Tenant, err
+	}
 	n.listener.Classify = func(database, verb string, tables []string) (bundle.Class, uint64) {
 		b := n.bundle.Load()
 		g, _ := b.Group(database)
--- a/internal/proxy/auth.go
+++ b/internal/proxy/auth.go
@@ -13,24 +13,31 @@
 	"github.com/xdg-go/scram"
 
 	"buckthornport.example/buckthornport/internal/pgwire"
+	"buckthornport.example/buckthornport/pkg/bundle"
 )
 
 // authorize returns the credentials of a caller from the active bundle, or an error if the caller may not use the database.
 func (n *Node) authorize(user, database string) (pgwire.Credentials, error) {
-	c, ok := n.Bundle().Caller(user)
-	if !ok {
-		return pgwire.Credentials{}, fmt.Errorf("user %q may not connect", user)
-	}
-	if !slices.Contains(c.Databases, database) {
-		return pgwire.Credentials{}, fmt.Errorf("user %q may not use database %q", user, database)
-	}
-	if c.Secret == "" {
-		return pgwire.Credentials{}, nil
+	c, err := n.permittedCaller(user, database)
+	if err != nil || c.Secret == "" {
+		return pgwire.Credentials{}, err
 	}
 	stored, err := ParseSCRAMVerifier(c.Secret)
 	return pgwire.Credentials{Stored: &stored}, err
 }
 
+// permittedCaller returns a user of the active bundle, or an error if the user may not use the database.
+func (n *Node) permittedCaller(user, database string) (bundle.Caller, error) {
+	c, ok := n.Bundle().Caller(user)
+	switch {
+	case !ok:
+		return bundle.Caller{}, fmt.Errorf("user %q may not connect", user)
+	case !slices.Contains(c.Databases, database):
+		return bundle.Caller{}, fmt.Errorf("user %q may not use database %q", user, database)
+	}
+	return c, nil
+}
+
 // ParseSCRAMVerifier parses a SCRAM verifier in PostgreSQL's format: SCRAM-SHA-256$ITERATIONS:SALT$STOREDKEY:SERVERKEY, where salt
 // and keys are base64. Its error does not contain the verifier.
 func ParseSCRAMVerifier(s string) (scram.StoredCredentials, error) {
