Lanes that no longer serve a group give its connections up

Change: a lane that no longer serves has a share of one connection, and a lowered share closes idle connections at once.

--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -313,9 +313,10 @@
 	s, _ := l.servers.Get(e.Server)
 	if l.leaseSlots {
 		l.servers.Put(e.Server, s.WithLimits(s.Slots, s.LongSlots, e.Conns))
-		return
+	} else {
+		l.servers.Put(e.Server, s.WithLimits(e.Slots, l.policy.LongLimit(e.Slots), e.Conns))
 	}
-	l.servers.Put(e.Server, s.WithLimits(e.Slots, l.policy.LongLimit(e.Slots), e.Conns))
+	l.closeExcessConns(e.Server)
 }
 
 // updateView adopts a newer snapshot of the group. If the primary was replaced, it closes the connections to the old one.
--- a/internal/caller/pool.go
+++ b/internal/caller/pool.go
@@ -165,6 +165,18 @@
 	l.removeConn(id)
 }
 
+// closeExcessConns closes idle connections to a server, those first that were used least recently, until the others are within the
+// node's share.
+func (l *Lane) closeExcessConns(server string) {
+	for {
+		row, _ := l.servers.Get(server)
+		if len(row.IdleConns) == 0 || row.OpenConns+row.OpeningConns <= row.ConnLimit {
+			return
+		}
+		l.closeConn(row.IdleConns[0])
+	}
+}
+
 // closeIdleConns closes idle connections that reached their lifetime or idle timeout.
 func closeIdleConns(l *Lane, now time.Duration) {
 	for _, k := range l.conns.TakeDue(now) {
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -168,12 +168,16 @@
 		if !ok || !known {
 			continue
 		}
-		nodes := n.assignments[s.group].nodes
-		rank := max(0, slices.Index(nodes, n.settings.Peer))
+		a := n.assignments[s.group]
+		rank := max(0, slices.Index(a.nodes, n.settings.Peer))
 		limits := caller.LimitsUpdated{
 			Server: id,
-			Slots:  max(minSlots, n.visibleShare(nodes, peer.Share(s.slots*queuedPerSlot, max(1, len(nodes)), rank))),
-			Conns:  max(1, n.visibleShare(nodes, peer.Share(g.ConnectionsPerServer, max(1, len(nodes)), rank))-controlConnections),
+			Slots:  max(minSlots, n.visibleShare(a.nodes, peer.Share(s.slots*queuedPerSlot, max(1, len(a.nodes)), rank))),
+			Conns:  max(1, n.visibleShare(a.nodes, peer.Share(g.ConnectionsPerServer, max(1, len(a.nodes)), rank))-controlConnections),
+		}
+		if !a.local && len(a.nodes) > 0 {
+			// The lane only ends the transactions that are open in it. The connections belong to the nodes that serve the group.
+			limits.Conns = 1
 		}
 		if n.limits[id] != limits {
 			n.limits[id] = limits
