--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -311,12 +311,16 @@
 // updateLimits sets this node's share of connections to a server, and its share of slots unless slots are leased.
 func (l *Lane) updateLimits(e LimitsUpdated) {
 	s, _ := l.servers.Get(e.Server)
+	s = s.WithRetired(e.Retired)
 	if l.leaseSlots {
 		l.servers.Put(e.Server, s.WithLimits(s.Slots, s.LongSlots, e.Conns))
 	} else {
 		l.servers.Put(e.Server, s.WithLimits(e.Slots, l.policy.LongLimit(e.Slots), e.Conns))
 	}
 	l.closeExcessConns(e.Server)
+	if e.Retired {
+		l.expireIdleConns(e.Server)
+	}
 }
 
 // updateView adopts a newer snapshot of the group. If the primary was replaced, it closes the connections to the old one.
--- a/internal/caller/lane_test.go
+++ b/internal/caller/lane_test.go
@@ -23,9 +23,14 @@
 
 func newQuorumLane(c *qt.C) *laneFixture {
 	c.Helper()
-	l, err := caller.NewLane("g", "z0", caller.WithViolationHandler(func(invariant, detail string) {
+	return newLane(c)
+}
+
+func newLane(c *qt.C, opts ...caller.Option) *laneFixture {
+	c.Helper()
+	l, err := caller.NewLane("g", "z0", append(opts, caller.WithViolationHandler(func(invariant, detail string) {
 		c.Errorf("%s: %s", invariant, detail)
-	}))
+	}))...)
 	c.Assert(err, qt.IsNil)
 	f := &laneFixture{lane: l, now: time.Second}
 	f.view = upstream.GroupView{Name: "g", Term: 1, Primary: "p"}
--- a/internal/caller/messages.go
+++ b/internal/caller/messages.go
@@ -131,6 +131,8 @@
 	Server string
 	Slots  int
 	Conns  int
+	// Retired is set if other nodes serve the group now, which need the connections that this node no longer uses.
+	Retired bool
 }
 
 // DrainStarted reports that the node is draining.
--- a/internal/caller/pool.go
+++ b/internal/caller/pool.go
@@ -91,7 +91,7 @@
 	l.conns.Put(c.ID, c.WithPhase(now, ConnIdle).WithRequest(0, false).WithSession(0))
 	l.servers.Put(c.Server, row.WithIdleConn(c.ID))
 	end := min(now+ConnIdleTimeout, c.OpenedAt+ConnLifetime+l.jitter(ConnLifetime/4))
-	if l.policy.IdleTimeout > 0 && c.Tenant == "" {
+	if l.policy.IdleTimeout > 0 && (c.Tenant == "" || row.Retired) {
 		end = min(end, now+l.policy.IdleTimeout)
 	}
 	l.conns.SetDue(c.ID, end)
@@ -177,6 +177,14 @@
 	}
 }
 
+// expireIdleConns has the idle connections to a server closed after the policy's IdleTimeout.
+func (l *Lane) expireIdleConns(server string) {
+	row, _ := l.servers.Get(server)
+	for _, id := range row.IdleConns {
+		l.conns.SetDue(id, l.now+l.policy.IdleTimeout)
+	}
+}
+
 // closeIdleConns closes idle connections that reached their lifetime or idle timeout.
 func closeIdleConns(l *Lane, now time.Duration) {
 	for _, k := range l.conns.TakeDue(now) {
@@ -185,7 +193,7 @@
 			continue
 		}
 		row, _ := l.servers.Get(c.Server)
-		if l.policy.IdleTimeout > 0 && c.Tenant == "" && len(row.IdleConns) <= l.policy.MinIdle &&
+		if l.policy.IdleTimeout > 0 && !row.Retired && c.Tenant == "" && len(row.IdleConns) <= l.policy.MinIdle &&
 			now < min(c.PhaseSince+ConnIdleTimeout, c.OpenedAt+ConnLifetime) {
 			l.conns.SetDue(k, min(c.PhaseSince+ConnIdleTimeout, c.OpenedAt+ConnLifetime))
 			continue
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -14,8 +14,9 @@
 	Slots int
 	// LongSlots is how many of the slots requests of long classes may hold.
 	LongSlots int
-	// ConnLimit is the node's share of the server's connections.
+	// ConnLimit is the node's share of the server's connections. With Retired set, none of them is kept when it is idle.
 	ConnLimit    int
+	Retired      bool
 	Running      int
 	RunningLong  int
 	OpenConns    int
@@ -113,6 +114,12 @@
 	return s
 }
 
+// WithRetired returns the row of a server that other nodes use for the group, or that this node uses.
+func (s Server) WithRetired(on bool) Server {
+	s.Retired = on
+	return s
+}
+
 // WithRunning returns the row with n more, or fewer, requests running.
 func (s Server) WithRunning(n int, long bool) Server {
 	s.Running += n
--- a/internal/caller/tenant_conns_test.go
+++ b/internal/caller/tenant_conns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -43,6 +44,15 @@
 		c.Assert(only[caller.Close](c, as).Conn, qt.Equals, first.Conn)
 		c.Assert(only[caller.Open](c, as).Tenant, qt.Equals, "c")
 	})
+	t.Run("a lane that no longer serves its group keeps no idle connection", func(t *testing.T) {
+		c := qt.New(t)
+		f := newLane(c, caller.WithPolicy(caller.Quickest(func(string) int { return 0 })))
+		first := only[caller.Open](c, f.request(1, tenantWrite("a")))
+		f.finishWrite(c, first)
+		f.step(caller.LimitsUpdated{Server: "p", Slots: 2, Conns: 1, Retired: true})
+		f.now += time.Second
+		c.Assert(only[caller.Close](c, f.step()).Conn, qt.Equals, first.Conn)
+	})
 	t.Run("idle connections beyond a lowered share are closed at once", func(t *testing.T) {
 		c := qt.New(t)
 		f := newQuorumLane(c)
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -177,7 +177,7 @@
 		}
 		if !a.local && len(a.nodes) > 0 {
 			// The lane only ends the transactions that are open in it. The connections belong to the nodes that serve the group.
-			limits.Conns = 1
+			limits.Conns, limits.Retired = 1, true
 		}
 		if n.limits[id] != limits {
 			n.limits[id] = limits
