One node of each region serves a group where connections are scarce

Cause: with one node of each zone, 46 connections a server in 6 zones leave 7 to each node, and 70 connections for 76 tenants 11. Change: one node of each region serves the group where a zone's share is below 8 or below the number of tenants. Zones of dead members count, so that the loss of a zone moves no group. A region's dispatcher is always one of its zones' too, so that nodes which disagree for a while have one in common. The property TestRegionalDispatchers holds for up to 40 members.

--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -63,8 +63,9 @@
 	mu      sync.Mutex
 	lanes   map[string]*traffic.Lane
 	members []peer.Update
-	// knownMembers counts all known members, including those that are considered dead.
+	// knownMembers counts all known members, including those that are considered dead, and knownZones their zones.
 	knownMembers int
+	knownZones   int
 	// suspects holds the members that do not answer.
 	suspects map[string]bool
 	// membersRead is set once the member table was read, or memberListTimeout has passed.
@@ -75,9 +76,11 @@
 	sources *listing.SourcesAssigned
 	// lostTables holds the tables of which the last read failed.
 	lostTables map[string]bool
-	// assignments holds the serving nodes of each group, and dispatchers those among which they are chosen where a few serve for all.
-	assignments map[string]assignment
-	dispatchers *peer.Dispatchers
+	// assignments holds the serving nodes of each group, and zoneDispatchers and regionDispatchers those among which they are chosen
+	// where a few serve for all.
+	assignments       map[string]assignment
+	zoneDispatchers   *peer.Dispatchers
+	regionDispatchers *peer.Dispatchers
 	// inboundStreams are the streams on which other nodes forward requests to this one.
 	inboundStreams map[*inboundStream]bool
 	listedServers  map[string]listedServer
@@ -142,7 +145,7 @@
 		clock: tick.NewClock(), start: time.Now(),
 		members:    []peer.Update{{Name: s.Peer, Zone: s.Zone, Address: s.Peer, Weight: s.CPUWeight()}},
 		lostTables: map[string]bool{}, eraBegun: make(chan struct{}, 1),
-		assignments: map[string]assignment{}, suspects: map[string]bool{}, dispatchers: peer.NewDispatchers(),
+		assignments: map[string]assignment{}, suspects: map[string]bool{},
 		inboundStreams: map[*inboundStream]bool{},
 		lanes:          map[string]*traffic.Lane{}, listedServers: map[string]listedServer{}, limits: map[string]caller.LimitsUpdated{},
 		views: map[string]upstream.GroupView{},
@@ -152,6 +155,7 @@
 			return nil, trace.Wrap(err)
 		}
 	}
+	n.zoneDispatchers, n.regionDispatchers = newDispatchers(s.Zones)
 	n.ctx, n.stop = context.WithCancel(ctx)
 	n.routes.Store(newRouteTable(bundle.Bundle{}))
 	n.grace.Store(int64(s.Grace()))
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -22,6 +23,10 @@
 // transaction and for control. Where a server allows fewer per node, a few nodes serve the group for all.
 const connectionsPerNode = 4
 
+// minZoneConnections is the smallest share of a server's connections with which one node of each zone serves a group. With less, as
+// few as a handful of open transactions hold them all.
+const minZoneConnections = 8
+
 // initRelay creates the relay, which forwards requests to the nodes that serve a group.
 func (n *Node) initRelay() error {
 	d, err := dispatcher.NewRelay(dispatcher.WithJitter(tick.Jitter), dispatcher.WithTrace(operator.TraceSampled))
@@ -53,12 +58,37 @@
 	return ""
 }
 
+// newDispatchers returns the dispatchers of the zones and those of the regions. A zone without a region is a region of its own.
+func newDispatchers(zones bundle.Zones) (zone, region *peer.Dispatchers) {
+	return peer.NewDispatchers(), peer.NewDispatchers(peer.WithAreas(func(z string) string { return cmp.Or(zones.Region(z), z) }))
+}
+
+// servedByRegion reports whether one node of each region serves a group where few nodes serve it for all, and not one of each zone:
+// if the share of a zone is below minZoneConnections, or too small for a connection for each tenant. Zones count that have members
+// which are known to be dead, so that the loss of a zone moves no group. n.mu must be held.
+func (n *Node) servedByRegion(g bundle.Group, tenants int) bool {
+	zones := map[string]bool{}
+	for _, u := range n.members {
+		zones[u.Zone] = true
+	}
+	share := g.ConnectionsPerServer / max(1, n.knownZones, len(zones))
+	return share < max(minZoneConnections, tenants)
+}
+
+// groupDispatchers returns the dispatchers among which the nodes that serve a group are chosen. n.mu must be held.
+func (n *Node) groupDispatchers(g bundle.Group, tenants int) *peer.Dispatchers {
+	if n.servedByRegion(g, tenants) {
+		return n.regionDispatchers
+	}
+	return n.zoneDispatchers
+}
+
 // servingNodes returns the names of the nodes that serve a group: all members if the group's servers allow connectionsPerNode
-// connections from each, and a few of each zone otherwise. It also returns those of them that may promote the group's servers: all,
-// or the stand-ins if there are any. n.mu must be held.
-func (n *Node) servingNodes(g bundle.Group) (names, promoters []string) {
+// connections from each, and one of each zone or region otherwise. It also returns those of them that may promote the group's servers:
+// all, or the stand-ins if there are any. n.mu must be held.
+func (n *Node) servingNodes(g bundle.Group, tenants int) (names, promoters []string) {
 	if len(n.members)*connectionsPerNode > g.ConnectionsPerServer {
-		dispatchers, standIns := n.dispatchers.Serving(g.Name, n.isSuspect)
+		dispatchers, standIns := n.groupDispatchers(g, tenants).Serving(g.Name, n.isSuspect)
 		switch {
 		case len(standIns) > 0:
 			return slices.Concat(dispatchers, standIns), standIns
@@ -110,18 +140,21 @@
 	if !n.membersRead {
 		return
 	}
-	groups := make([]string, 0, len(b.Groups))
+	groups := map[*peer.Dispatchers][]string{}
 	for _, g := range b.Groups {
-		groups = append(groups, g.Name)
+		d := n.groupDispatchers(g, len(b.Tenants))
+		groups[d] = append(groups[d], g.Name)
+	}
+	for _, d := range []*peer.Dispatchers{n.zoneDispatchers, n.regionDispatchers} {
+		d.Update(n.members, groups[d])
 	}
-	n.dispatchers.Update(n.members, groups)
 	n.assignGroups(b)
 }
 
 // assignGroups decides for each group which nodes serve it. n.mu must be held.
 func (n *Node) assignGroups(b bundle.Bundle) {
 	for _, g := range b.Groups {
-		names, promoters := n.servingNodes(g)
+		names, promoters := n.servingNodes(g, len(b.Tenants))
 		if slices.Equal(names, n.assignments[g.Name].nodes) {
 			continue
 		}
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -94,7 +94,7 @@
 			n.suspects[u.Name] = true
 		}
 	}
-	n.knownMembers = a.Known
+	n.knownMembers, n.knownZones = a.Known, a.KnownZones
 	n.membersRead = n.membersRead || a.VMsListed
 	n.mu.Unlock()
 	n.assignSources()
--- a/internal/peer/dispatchers.go
+++ b/internal/peer/dispatchers.go
@@ -8,8 +8,9 @@
 	"buckthornport.example/buckthornport/internal/table"
 )
 
-// Dispatchers holds, for each database group, the node of each availability zone that serves the group for the other nodes of the
-// zone: the first one by weighted rendezvous hash. The weight is the square of the processor share, so that a few large nodes take
+// Dispatchers holds, for each database group, the node of each area that serves the group for the other nodes of the area: the first
+// one by weighted rendezvous hash. An area is an availability zone, or a region if WithAreas says so. A region's dispatcher is thus
+// also that of its zone. The weight is the square of the processor share, so that a few large nodes take
 // most of the groups even among many small ones. Members without a zone are left out.
 //
 // A member that joins costs one hash per group, and one that leaves costs the hashes of its zone for each group that it served.
@@ -20,9 +21,19 @@
 	standIns *Dispatchers
 	// score returns the weighted rendezvous hash of a member for a group.
 	score func(u Update, group string) float64
+	// area returns the area of a zone.
+	area func(zone string) string
 }
 
-// groupDispatchers is the row of one group: its dispatchers, sorted by zone.
+// DispatchersOption configures Dispatchers.
+type DispatchersOption func(*Dispatchers)
+
+// WithAreas sets the function that returns the area of a zone. By default each zone is an area.
+func WithAreas(area func(zone string) string) DispatchersOption {
+	return func(d *Dispatchers) { d.area = area }
+}
+
+// groupDispatchers is the row of one group: its dispatchers, sorted by their areas, which stand in place of the zones.
 type groupDispatchers struct {
 	nodes []candidate
 }
@@ -69,8 +80,15 @@
 }
 
 // NewDispatchers returns a table without members and groups.
-func NewDispatchers() *Dispatchers {
-	return &Dispatchers{members: map[string]Update{}, groups: table.New[string, groupDispatchers](), score: score}
+func NewDispatchers(opts ...DispatchersOption) *Dispatchers {
+	d := &Dispatchers{
+		members: map[string]Update{}, groups: table.New[string, groupDispatchers](), score: score,
+		area: func(zone string) string { return zone },
+	}
+	for _, o := range opts {
+		o(d)
+	}
+	return d
 }
 
 // Update replaces the members, and adds the groups that are not in the table yet.
@@ -97,7 +115,7 @@
 		if u.Zone == "" {
 			continue
 		}
-		u = Update{Name: u.Name, Zone: u.Zone, Weight: u.Weight}
+		u = Update{Name: u.Name, Zone: d.area(u.Zone), Weight: u.Weight}
 		next[u.Name] = u
 		if d.members[u.Name] != u {
 			joined = append(joined, u)
--- a/internal/peer/dispatchers_test.go
+++ b/internal/peer/dispatchers_test.go
@@ -173,3 +173,26 @@
 		assertServing(t, suspects(), nil)
 	})
 }
+
+// TestRegionalDispatchers guards against requests that are declined while nodes disagree on whether one node of each zone or of each
+// region serves a group: a region's dispatcher has to be one of its zones', too.
+func TestRegionalDispatchers(t *testing.T) {
+	regions := map[string]string{"a": "r", "b": "r", "c": "q", "d": "q"}
+	rapid.Check(t, func(t *rapid.T) {
+		members := zonedMembers(rapid.IntRange(1, 40).Draw(t, "members"), "a", "b", "c", "d")
+		zonal, regional := NewDispatchers(), NewDispatchers(WithAreas(func(z string) string { return regions[z] }))
+		groups := groupNames(5)
+		zonal.Update(members, groups)
+		regional.Update(members, groups)
+		for _, g := range groups {
+			if n := len(regional.Nodes(g)); n != min(2, (len(members)+1)/2) {
+				t.Fatalf("%d nodes serve %s", n, g)
+			}
+			for _, name := range regional.Nodes(g) {
+				if !slices.Contains(zonal.Nodes(g), name) {
+					t.Fatalf("%s serves %s for its region, and not for its zone", name, g)
+				}
+			}
+		}
+	})
+}
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -145,5 +145,18 @@
 		return
 	}
 	m.membersChanged = false
-	m.actions = append(m.actions, MembersChanged{Members: m.Alive(), Known: m.members.Len() + 1, VMsListed: m.vmsListed})
+	m.actions = append(m.actions, MembersChanged{
+		Members: m.Alive(), Known: m.members.Len() + 1, KnownZones: m.countZones(), VMsListed: m.vmsListed,
+	})
+}
+
+// countZones counts the zones of all known nodes.
+func (m *Membership) countZones() int {
+	zones := map[string]bool{m.self.Zone: true}
+	for _, k := range m.members.Keys() {
+		r, _ := m.members.Get(k)
+		zones[r.Zone] = true
+	}
+	delete(zones, "")
+	return len(zones)
 }
--- a/internal/peer/rows.go
+++ b/internal/peer/rows.go
@@ -219,8 +219,9 @@
 // name.
 type MembersChanged struct {
 	Members []Update
-	// Known counts all nodes, also leaving and dead ones.
-	Known int
+	// Known counts all nodes, also leaving and dead ones, and KnownZones their zones.
+	Known      int
+	KnownZones int
 	// VMsListed reports whether the platform's VM list has been received. Members then includes nodes that were never contacted.
 	VMsListed bool
 }
