Open transactions leave half of the connections, and queues are shared between tenants

Cause: 120 callers that rest in transactions for 3 s hold all connections of a dispatcher to the primary. Single writes are then not sent for 475, 454 and 338 ms (7, 22 and 40 connections), and 116, 121 and 310 of 691 are served. The limit of 16 skipped requests a step is not the cause: with 4096 the figures are the same. Change: open transactions hold half of the connections; a BEGIN beyond that waits in a list of its own and goes first when one ends. Each queue has a row per tenant, served by deficit round robin; without tenants it is one row.

--- /dev/null
+++ b/internal/caller/fair.go
@@ -0,0 +1,266 @@
+package caller
+
+import (
+	"slices"
+	"time"
+
+	"buckthornport.example/buckthornport/internal/table"
+	"buckthornport.example/buckthornport/internal/upstream"
+)
+
+const (
+	// heldDepartures is added to a queue's number to get the row of the departures of the BEGINs that are held in it.
+	heldDepartures = int(queueCount)
+	// maxFlowScan is how many tenants whose requests can't start yet are passed over in one queue per step, at the head of the ring
+	// and after it. Of each, at most maxTenantScan requests are looked at.
+	maxFlowScan   = 16
+	maxTenantScan = 4
+	// maxCostQuanta bounds the cost of a request, in quanta, so that one slow class doesn't keep its tenant waiting for many rounds.
+	maxCostQuanta = 8
+)
+
+// flow is the row of one tenant in a queue: its requests that wait there, in the order in which they are served.
+type flow struct {
+	ids []RequestID
+	// held are requests that begin a transaction, and wait until a server has room for one.
+	held []RequestID
+	// deficit is the service time that the tenant may still use in this round.
+	deficit time.Duration
+}
+
+func (f flow) empty() bool {
+	return len(f.ids) == 0 && len(f.held) == 0
+}
+
+// fairQueue is a queue that tenants share by deficit round robin. ring holds the tenants that wait, the next one to be served
+// first.
+type fairQueue struct {
+	flows *table.Table[string, flow]
+	ring  []string
+	// waiting and held count the entries of all flows. Requests that were refused meanwhile count until a step comes by.
+	waiting int
+	held    int
+	// next is where the last step stopped that looked at tenants beyond the first maxFlowScan ones, counted from there.
+	next int
+}
+
+func newFairQueue() fairQueue {
+	return fairQueue{flows: table.New[string, flow]()}
+}
+
+// ownFlow returns the row of a tenant and how many others wait.
+func (f fairQueue) ownFlow(name string) (own flow, others int) {
+	own, ok := f.flows.Get(name)
+	if ok {
+		return own, len(f.ring) - 1
+	}
+	return own, len(f.ring)
+}
+
+// put replaces the row of a tenant.
+func (f *fairQueue) put(name string, old, row flow) {
+	f.waiting += len(row.ids) - len(old.ids)
+	f.held += len(row.held) - len(old.held)
+	if row.empty() {
+		f.flows.Delete(name)
+	} else {
+		f.flows.Put(name, row)
+	}
+	f.flows.TakeDirty()
+}
+
+// flowToJoin returns the row that a request joins. A tenant that did not wait before joins the ring at its end.
+func (l *Lane) flowToJoin(q QueueID, r Request) (name string, row flow) {
+	f := &l.queues[q]
+	name = l.policy.Share(r)
+	row, ok := f.flows.Get(name)
+	if !ok {
+		f.ring = append(f.ring, name)
+		row.deficit = l.quantum()
+	}
+	return name, row
+}
+
+// join puts a request at the end of its tenant's requests.
+func (l *Lane) join(q QueueID, r Request) {
+	name, old := l.flowToJoin(q, r)
+	row := old
+	if r.Statement.Kind == KindBegin && r.TxConn == 0 && len(row.held) > 0 {
+		row.held = append(row.held, r.ID)
+	} else {
+		row.ids = append(row.ids, r.ID)
+	}
+	l.queues[q].put(name, old, row)
+}
+
+// rejoin puts a request at the head of its tenant's requests.
+func (l *Lane) rejoin(q QueueID, r Request) {
+	name, old := l.flowToJoin(q, r)
+	row := old
+	row.ids = slices.Insert(row.ids, 0, r.ID)
+	l.queues[q].put(name, old, row)
+}
+
+// dispatchQueues starts the requests that have a slot and a connection, queue by queue in order of priority.
+func dispatchQueues(l *Lane, now time.Duration) {
+	l.requests.TakeDirty()
+	l.conns.TakeDirty()
+	l.servers.TakeDue(now)
+	l.replicaWaitUntil = 0
+	waiting := map[connKey]int{}
+	for q := range l.queues {
+		l.dispatch(now, QueueID(q), waiting)
+	}
+}
+
+// dispatch starts requests of the tenants in the ring. A tenant that has used up its deficit goes to the end of the ring, and
+// one whose requests can't start yet keeps its place.
+func (l *Lane) dispatch(now time.Duration, q QueueID, waiting map[connKey]int) {
+	f := &l.queues[q]
+	var blocked [maxFlowScan]string
+	n, i := 0, 0
+	for i < len(f.ring) && n < maxFlowScan && l.mayStart(q) {
+		name := f.ring[i]
+		i++
+		switch l.serveFlow(now, q, name, waiting) {
+		case flowBlocked:
+			blocked[n] = name
+			n++
+		case flowExhausted:
+			f.ring = append(f.ring, name)
+		}
+	}
+	copy(f.ring[i-n:i], blocked[:n])
+	f.ring = f.ring[i-n:]
+	if n == maxFlowScan {
+		l.dispatchBeyond(now, q, waiting)
+	}
+}
+
+// dispatchBeyond starts requests of tenants behind the first maxFlowScan ones, of which none could start. Each step goes on
+// where the last one stopped.
+func (l *Lane) dispatchBeyond(now time.Duration, q QueueID, waiting map[connKey]int) {
+	f := &l.queues[q]
+	if f.next += maxFlowScan; f.next >= len(f.ring) {
+		f.next = maxFlowScan
+	}
+	for n := 0; n < maxFlowScan && f.next < len(f.ring) && l.mayStart(q); n++ {
+		if l.serveFlow(now, q, f.ring[f.next], waiting) == flowEmpty {
+			f.ring = slices.Delete(f.ring, f.next, f.next+1)
+		} else {
+			f.next++
+		}
+	}
+	f.next -= maxFlowScan
+}
+
+// mayStart reports whether a step that looks at another tenant may find a request that can start. Where slots are leased, each
+// request that waits is counted as demand for them.
+func (l *Lane) mayStart(q QueueID) bool {
+	if len(l.queues[q].ring) == 1 || q == QueueTransaction || l.leaseSlots {
+		return true
+	}
+	return slices.ContainsFunc(l.view.Servers, func(v upstream.ServerView) bool {
+		s, _ := l.servers.Get(v.Name)
+		return s.FreeSlots() > 0
+	})
+}
+
+// flowState is the state of a tenant's row after a step has looked at it.
+type flowState uint8
+
+const (
+	// flowEmpty means that nothing of the tenant waits any more.
+	flowEmpty flowState = iota
+	// flowBlocked means that its next requests can't start yet.
+	flowBlocked
+	// flowExhausted means that its deficit is used up.
+	flowExhausted
+)
+
+// serveFlow starts a tenant's requests. A tenant that waits alone is not limited by its deficit.
+func (l *Lane) serveFlow(now time.Duration, q QueueID, name string, waiting map[connKey]int) flowState {
+	f := &l.queues[q]
+	old, _ := f.flows.Get(name)
+	row := old
+	alone := f.flows.Len() == 1
+	row.held = l.startHeldRequests(now, q, row.held, waiting)
+	limit := maxTenantScan
+	if alone {
+		limit = maxQueueScan
+	}
+	var skipped [maxQueueScan]RequestID
+	n, i := 0, 0
+	for i < len(row.ids) && n < limit && (alone || row.deficit > 0) {
+		r, ok := l.requests.Get(row.ids[i])
+		i++
+		if !ok || !l.stillQueued(r) {
+			continue
+		}
+		switch l.startRequest(now, r, waiting) {
+		case startLeft:
+			l.recordDeparture(now, int(q), n > 0 || i < len(row.ids) || !alone)
+			if !alone {
+				row.deficit -= l.cost(r)
+			}
+		case startHeld:
+			row.held = append(row.held, r.ID)
+			d, _ := l.departures.Get(int(q) + heldDepartures)
+			l.departures.Put(int(q)+heldDepartures, d.withJoin(now, l.queuedUntil(r)-now))
+		default:
+			skipped[n] = r.ID
+			n++
+		}
+	}
+	copy(row.ids[i-n:i], skipped[:n])
+	row.ids = row.ids[i-n:]
+	state := flowBlocked
+	switch {
+	case row.empty():
+		state = flowEmpty
+	case row.deficit <= 0 && !alone:
+		state = flowExhausted
+		row.deficit += l.quantum()
+	}
+	f.put(name, old, row)
+	return state
+}
+
+// startHeldRequests starts the first of the requests that wait for room for a transaction, and returns the others.
+func (l *Lane) startHeldRequests(now time.Duration, q QueueID, held []RequestID, waiting map[connKey]int) []RequestID {
+	for len(held) > 0 {
+		r, ok := l.requests.Get(held[0])
+		if ok && l.stillQueued(r) {
+			if l.startRequest(now, r, waiting) != startLeft {
+				break
+			}
+			l.recordDeparture(now, int(q)+heldDepartures, len(held) > 1)
+		}
+		held = held[1:]
+	}
+	return held
+}
+
+// recordDeparture records that a request has left a queue.
+func (l *Lane) recordDeparture(now time.Duration, row int, nonEmpty bool) {
+	d, _ := l.departures.Get(row)
+	l.departures.Put(row, d.withDeparture(now, nonEmpty))
+	l.departures.TakeDirty()
+}
+
+// quantum is the service time that each tenant may use in a round: the mean over all classes.
+func (l *Lane) quantum() time.Duration {
+	if all, ok := l.answerTimes.Get(allClasses); ok {
+		return max(time.Millisecond, all.mean)
+	}
+	return initialAnswerTime
+}
+
+// cost is the expected service time of a request.
+func (l *Lane) cost(r Request) time.Duration {
+	c, ok := l.answerTimes.Get(r.Statement.Class.Name)
+	if !ok {
+		return l.quantum()
+	}
+	return min(max(time.Millisecond, c.mean), maxCostQuanta*l.quantum())
+}
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -36,7 +36,9 @@
 	conns            *table.Table[ConnID, Conn]
 	servers          *table.Table[string, Server]
 	// opening counts the connections that are being opened.
-	opening       map[connKey]int
+	opening map[connKey]int
+	// connUses holds what is known about the use of each tenant's connections.
+	connUses      map[connKey]connUse
 	confirmations *table.Table[uint64, confirmation]
 	departures    *table.Table[int, departureStats]
 	answerTimes   *table.Table[string, classAnswerTime]
@@ -51,7 +53,7 @@
 	leaseSlots  bool
 	lastSlotSeq uint64
 	view        upstream.GroupView
-	queues      [queueCount][]RequestID
+	queues      [queueCount]fairQueue
 	// awaitingConfirmation lists requests whose answers wait for evidence, awaitingFloor sessions without a known floor.
 	awaitingConfirmation []RequestID
 	awaitingFloor        []SessionID
@@ -172,11 +174,15 @@
 		leases:        table.New[string, lease](),
 		slotDemand:    map[string]demand{},
 		opening:       map[connKey]int{},
+		connUses:      map[connKey]connUse{},
 		retryBudget:   maxRetryBudget,
 		jitter:        func(limit time.Duration) time.Duration { return limit / 2 },
 		onViolation:   func(string, string) {},
 		trace:         func(string) bool { return false },
 	}
+	for q := range l.queues {
+		l.queues[q] = newFairQueue()
+	}
 	l.systems = []system{
 		{"deadlines", expireRequests},
 		{"lease timeouts", expireLeases},
@@ -265,7 +271,7 @@
 	case ViewUpdated:
 		l.updateView(now, e.View)
 	case LimitsUpdated:
-		l.updateLimits(e)
+		l.updateLimits(now, e)
 	case DrainStarted:
 		l.drain()
 	case DrainTransactions:
@@ -282,7 +288,7 @@
 	case ConnOpened:
 		l.connOpened(now, e.Conn)
 	case ConnFailed:
-		l.connFailed(now, e.Conn)
+		l.connFailed(now, e)
 	case ConnLost:
 		l.connLost(now, e.Conn)
 	case CancelDone:
@@ -309,7 +315,8 @@
 }
 
 // updateLimits sets this node's share of connections to a server, and its share of slots unless slots are leased.
-func (l *Lane) updateLimits(e LimitsUpdated) {
+func (l *Lane) updateLimits(now time.Duration, e LimitsUpdated) {
+	l.retire(now, e)
 	s, _ := l.servers.Get(e.Server)
 	if l.leaseSlots {
 		l.servers.Put(e.Server, s.WithLimits(s.Slots, s.LongSlots, e.Conns))
--- a/internal/caller/messages.go
+++ b/internal/caller/messages.go
@@ -52,9 +52,11 @@
 	Conn ConnID
 }
 
-// ConnFailed reports an upstream connection that could not be opened.
+// ConnFailed reports an upstream connection that could not be opened. Full is set if the server has as many connections as it
+// accepts.
 type ConnFailed struct {
 	Conn ConnID
+	Full bool
 }
 
 // ConnLost reports an upstream connection that broke while it served no request.
@@ -126,11 +128,13 @@
 	View upstream.GroupView
 }
 
-// LimitsUpdated sets this node's share of a server's slots and connections.
+// LimitsUpdated sets this node's share of a server's slots and connections. Retired is set if the node does not serve the group any
+// more, and finishes only what it has accepted.
 type LimitsUpdated struct {
-	Server string
-	Slots  int
-	Conns  int
+	Server  string
+	Slots   int
+	Conns   int
+	Retired bool
 }
 
 // DrainStarted reports that the node is draining.
--- a/internal/caller/policy.go
+++ b/internal/caller/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -17,6 +18,11 @@
 	// QueueTimeout is how long a request may wait for a server that is available. After that it is refused without having
 	// run.
 	QueueTimeout func(r Request) time.Duration
+	// Share returns the name under which a request takes part in sharing its queue fairly. Requests of one name are served in order
+	// of arrival.
+	Share func(r Request) string
+	// TxLimit is how many open transactions a lane may have at a server, given its share of the server's connections.
+	TxLimit func(conns int) int
 	// Route orders the servers that may run a read, best first.
 	Route func(q RouteQuery) []Server
 	// LongLimit is how many of a server's slots requests of long classes may hold at once.
@@ -45,6 +51,8 @@
 	Servers  []Server
 	Primary  string
 	Rotation int
+	// OpenCost returns the time until the request has a connection to a server. It is nil if that plays no part.
+	OpenCost func(s Server) time.Duration
 	// Samples are positions of the primary, oldest first. LeaderAt reports whether the primary certainly led at a time.
 	Samples  []upstream.Sample
 	LeaderAt func(at time.Duration) bool
@@ -57,6 +65,8 @@
 		Name:         "ours",
 		SelectQueue:  func(r Request, _ bool) QueueID { return queueByClass(r) },
 		QueueTimeout: waitUntilDeadline,
+		Share:        shareByTenant,
+		TxLimit:      unlimited,
 		Route:        routeNearest,
 		LongLimit:    func(slots int) int { return max(1, slots-1-slots/3) },
 		Admit:        func(wait, left time.Duration) bool { return wait <= left },
@@ -72,6 +82,8 @@
 		Name:         "fifo",
 		SelectQueue:  func(Request, bool) QueueID { return QueueShort },
 		QueueTimeout: waitUntilDeadline,
+		Share:        func(Request) string { return "" },
+		TxLimit:      unlimited,
 		Route:        routeRotation,
 		LongLimit:    func(slots int) int { return slots },
 		Admit:        func(time.Duration, time.Duration) bool { return true },
@@ -90,6 +102,22 @@
 	}
 }
 
+// shareByTenant shares queues between tenants.
+func shareByTenant(r Request) string {
+	return r.Statement.Tenant
+}
+
+// unlimited lets open transactions hold all connections.
+func unlimited(int) int {
+	return math.MaxInt
+}
+
+// halfOfConns lets open transactions hold half of the connections, so that single statements go on while transactions wait for
+// their callers.
+func halfOfConns(conns int) int {
+	return max(1, conns/2)
+}
+
 // waitUntilDeadline lets a request wait until its deadline.
 func waitUntilDeadline(r Request) time.Duration {
 	return r.Deadline - r.Arrived
@@ -187,6 +215,7 @@
 	p.Name = "quickest"
 	p.LeaseSlots = false
 	p.ReplicaWait = connectWait
+	p.TxLimit = halfOfConns
 	p.SelectQueue = queueByAnswerTime
 	p.QueueTimeout = waitWithinObjective
 	p.Admit = func(wait, left time.Duration) bool { return wait <= left*admittedWaitTenths/10 }
@@ -206,6 +235,9 @@
 		if s.View.Name == q.Primary {
 			c += primaryPenalty
 		}
+		if q.OpenCost != nil {
+			c += q.OpenCost(s)
+		}
 		return c
 	}
 	ss := slices.Clone(q.Servers)
--- a/internal/caller/pool.go
+++ b/internal/caller/pool.go
@@ -34,8 +34,12 @@
 	if l.opening[k] >= waiting || now < row.RetryAt || !row.View.Alive {
 		return
 	}
+	if k.tenant != "" && row.OpeningConns >= row.FreeSlots() {
+		// Opening a connection takes a slot, too.
+		return
+	}
 	if row.OpenConns+row.OpeningConns >= row.ConnLimit {
-		if !l.evictConn(row, k.tenant) {
+		if !l.evictConn(now, row, k.tenant) {
 			return
 		}
 		row, _ = l.servers.Get(k.server)
@@ -49,21 +53,10 @@
 	})
 	l.servers.Put(k.server, row.WithOpeningConns(1))
 	l.opening[k]++
+	l.changeUse(k, func(u connUse) connUse { return u.withConns(1) })
 	l.actions = append(l.actions, Open{Conn: l.lastConn, Server: k.server, Address: row.View.Address, Tenant: k.tenant})
 }
 
-// evictConn closes the connection to a server that has been idle for the longest time, among those of other tenants, and reports
-// whether there was one.
-func (l *Lane) evictConn(row Server, tenant string) bool {
-	for _, id := range row.IdleConns {
-		if c, _ := l.conns.Get(id); c.Tenant != tenant {
-			l.closeConn(id)
-			return true
-		}
-	}
-	return false
-}
-
 // openingEnded counts a connection that is no longer being opened.
 func (l *Lane) openingEnded(c Conn) {
 	k := connKey{server: c.Server, tenant: c.Tenant}
@@ -79,7 +72,11 @@
 		return
 	}
 	row, _ := l.servers.Get(c.Server)
-	l.servers.Put(c.Server, row.WithOpeningConns(-1).WithOpenConns(1))
+	row = row.WithOpeningConns(-1).WithOpenConns(1)
+	if c.Tenant != "" {
+		row = row.WithOpenTime(now - c.PhaseSince)
+	}
+	l.servers.Put(c.Server, row)
 	l.openingEnded(c)
 	c.OpenedAt = now
 	l.returnToPool(now, c)
@@ -88,10 +85,18 @@
 // returnToPool makes a connection idle, or closes it if the server has more connections than the node's share.
 func (l *Lane) returnToPool(now time.Duration, c Conn) {
 	row, _ := l.servers.Get(c.Server)
-	l.conns.Put(c.ID, c.WithPhase(now, ConnIdle).WithRequest(0, false).WithSession(0))
+	if c.Transaction {
+		row = row.WithTransactions(-1)
+	}
+	c = c.WithPhase(now, ConnIdle).WithRequest(0, false).WithSession(0).WithTransaction(false)
+	l.conns.Put(c.ID, c)
 	l.servers.Put(c.Server, row.WithIdleConn(c.ID))
+	l.changeUse(c.key(), func(u connUse) connUse { return u.withIdle(1) })
 	end := min(now+ConnIdleTimeout, c.OpenedAt+ConnLifetime+l.jitter(ConnLifetime/4))
-	if l.policy.IdleTimeout > 0 && c.Tenant == "" {
+	switch {
+	case c.Tenant != "" && !row.Retired:
+		end = min(end, now+tenantIdleTimeout)
+	case l.policy.IdleTimeout > 0:
 		end = min(end, now+l.policy.IdleTimeout)
 	}
 	l.conns.SetDue(c.ID, end)
@@ -100,18 +105,23 @@
 	}
 }
 
-func (l *Lane) connFailed(now time.Duration, id ConnID) {
+// connFailed handles a connection that could not be opened. A server without room for it is not suspect.
+func (l *Lane) connFailed(now time.Duration, e ConnFailed) {
+	id := e.Conn
 	c, ok := l.conns.Get(id)
 	if !ok || c.Phase != ConnOpening {
 		l.stats.StrayMessages++
 		return
 	}
-	l.reportSuspect(now, c.Server, false)
+	if !e.Full {
+		l.reportSuspect(now, c.Server, false)
+	}
 	row, _ := l.servers.Get(c.Server)
 	row = row.WithOpeningConns(-1).WithRetryAt(now + ConnectBackoff/2 + l.jitter(ConnectBackoff/2))
 	l.servers.Put(c.Server, row)
 	l.servers.SetDue(c.Server, row.RetryAt)
 	l.openingEnded(c)
+	l.changeUse(c.key(), func(u connUse) connUse { return u.withConns(-1) })
 	l.conns.Delete(id)
 }
 
@@ -156,7 +166,16 @@
 	default:
 		row = row.WithOpenConns(-1).WithoutIdleConn(id)
 	}
+	if c.Transaction {
+		row = row.WithTransactions(-1)
+	}
 	l.servers.Put(c.Server, row)
+	l.changeUse(c.key(), func(u connUse) connUse {
+		if c.Phase == ConnIdle {
+			u = u.withIdle(-1)
+		}
+		return u.withConns(-1)
+	})
 	l.conns.Delete(id)
 }
 
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -9,184 +9,6 @@
 	"buckthornport.example/buckthornport/pkg/session"
 )
 
-// classAnswerTime is the row of one class of requests: the exponentially weighted mean of its answer times.
-type classAnswerTime struct {
-	mean time.Duration
-}
-
-// withAnswer returns the row after an answer that took d.
-func (c classAnswerTime) withAnswer(d time.Duration) classAnswerTime {
-	if c.mean == 0 {
-		c.mean = d
-	}
-	c.mean += time.Duration(meanWeight * float64(d-c.mean))
-	return c
-}
-
-const (
-	// allClasses is the key of the row for all classes together.
-	allClasses = ""
-	// slowClassTenths is the mean answer time above which a class is slow, in tenths of the mean over all classes.
-	slowClassTenths = 13
-)
-
-const (
-	// maxIntervalGrowth and minIntervalLimit bound the influence of a single interval between departures on their mean.
-	maxIntervalGrowth = 4
-	minIntervalLimit  = 20 * time.Millisecond
-	// departureWeight is the weight of the latest interval in the mean.
-	departureWeight = 0.03
-)
-
-const (
-	// maxStallRetry bounds the time to return that a refused caller is told because nothing leaves a queue.
-	maxStallRetry = time.Second
-	// stallMemory is how long a stall is remembered after the last request has joined the queue, in times that it may wait.
-	stallMemory = 2
-)
-
-// departureStats is the row of one queue: the weighted mean interval between departures while other requests waited in it.
-type departureStats struct {
-	lastAt   time.Duration
-	interval time.Duration
-	nonEmpty bool
-	// waitingSince is the time since which requests have waited in the queue and none was sent, zero if the last one that was sent
-	// left it empty. It stays as it is while requests give up. joinedAt is when the last one joined.
-	waitingSince time.Duration
-	joinedAt     time.Duration
-}
-
-// withJoin returns the row after a request has joined the queue, which waits for at most the given time.
-func (d departureStats) withJoin(now, patience time.Duration) departureStats {
-	if d.waitingSince == 0 || now-d.joinedAt > stallMemory*patience {
-		d.waitingSince = now
-	}
-	d.joinedAt = now
-	return d
-}
-
-// withDeparture returns the row after a request left the queue. nonEmpty is set if others still wait in it.
-func (d departureStats) withDeparture(now time.Duration, nonEmpty bool) departureStats {
-	switch {
-	case d.nonEmpty && d.interval == 0:
-		d.interval = now - d.lastAt
-	case d.nonEmpty:
-		// A single pause, as while a primary is replaced, says little about the departures after it.
-		took := min(now-d.lastAt, max(maxIntervalGrowth*d.interval, minIntervalLimit))
-		d.interval += time.Duration(departureWeight * float64(took-d.interval))
-	}
-	d.lastAt = now
-	d.nonEmpty = nonEmpty
-	d.waitingSince = 0
-	if nonEmpty {
-		d.waitingSince = now
-	}
-	return d
-}
-
-// enqueue puts a request into its queue, or refuses it at once if the policy does not admit it.
-func (l *Lane) enqueue(now time.Duration, r Request) {
-	s, _ := l.sessions.Get(r.Session)
-	r = r.WithPhase(PhaseQueued)
-	l.requests.Put(r.ID, r)
-	l.requests.SetDue(r.ID, r.Deadline)
-	if s.TxConn == 0 {
-		l.requests.SetDue(r.ID, min(r.Deadline, r.Arrived+l.policy.QueueTimeout(r)))
-	}
-	if s.TxConn != 0 {
-		l.queues[QueueTransaction] = append(l.queues[QueueTransaction], r.ID)
-		return
-	}
-	q := l.policy.SelectQueue(r, l.slowClass(r))
-	patience := l.queuedUntil(r) - now
-	wait, stall := l.expectedWait(q), l.stall(now, q)
-	if !l.policy.Admit(max(wait, stall), patience) {
-		back := max(wait, min(stall, maxStallRetry))
-		// The random part keeps those refused at a crest from returning all at once.
-		l.refuse(r, Refusal{
-			Reason: ReasonOverload, Retry: max(back/2+l.jitter(back), time.Millisecond),
-			Detail: fmt.Sprintf("expected wait %v, nothing sent for %v", wait, stall),
-		})
-		return
-	}
-	d, _ := l.departures.Get(int(q))
-	l.departures.Put(int(q), d.withJoin(now, patience))
-	l.departures.TakeDirty()
-	l.queues[q] = append(l.queues[q], r.ID)
-}
-
-// requeue puts a request that has to be sent again at the head of its queue.
-func (l *Lane) requeue(r Request) {
-	r = r.WithPhase(PhaseQueued).WithoutPendingLeadership()
-	l.requests.Put(r.ID, r)
-	l.requests.SetDue(r.ID, max(l.now, min(r.Deadline, r.Arrived+l.policy.QueueTimeout(r))))
-	q := l.policy.SelectQueue(r, l.slowClass(r))
-	l.queues[q] = slices.Insert(l.queues[q], 0, r.ID)
-}
-
-// queuedUntil returns when a request that still waits is refused: at its queue timeout, or at its deadline while there is no
-// primary.
-func (l *Lane) queuedUntil(r Request) time.Duration {
-	if l.leader() == "" {
-		return r.Deadline
-	}
-	return min(r.Deadline, r.Arrived+l.policy.QueueTimeout(r))
-}
-
-// expectedWait estimates how long a request that joins a queue would wait, from the interval at which requests leave it. The
-// interval covers every cause of delay: slots, connections and the work itself.
-func (l *Lane) expectedWait(q QueueID) time.Duration {
-	d, _ := l.departures.Get(int(q))
-	return d.interval * time.Duration(len(l.queues[q]))
-}
-
-// stall returns how long requests have waited in a queue while none has left it. A request that joins is likely to wait as long
-// again. It is zero while the queue is empty, so that one request finds out whether the stall has ended, and without a primary: the
-// next one takes up all that wait.
-func (l *Lane) stall(now time.Duration, q QueueID) time.Duration {
-	d, _ := l.departures.Get(int(q))
-	if len(l.queues[q]) == 0 || d.waitingSince == 0 || l.leader() == "" {
-		return 0
-	}
-	return now - d.waitingSince
-}
-
-// dispatchQueues starts the requests that have a slot and a connection, queue by queue in order of priority.
-func dispatchQueues(l *Lane, now time.Duration) {
-	l.requests.TakeDirty()
-	l.conns.TakeDirty()
-	l.servers.TakeDue(now)
-	l.replicaWaitUntil = 0
-	waiting := map[connKey]int{}
-	for q := range l.queues {
-		l.dispatch(now, QueueID(q), waiting)
-	}
-}
-
-// dispatch starts requests from the head of a queue. It skips at most maxQueueScan requests that cannot start yet.
-func (l *Lane) dispatch(now time.Duration, q QueueID, waiting map[connKey]int) {
-	queue := l.queues[q]
-	var skipped [maxQueueScan]RequestID
-	n, i := 0, 0
-	for i < len(queue) && n < maxQueueScan {
-		id := queue[i]
-		i++
-		r, ok := l.requests.Get(id)
-		switch {
-		case !ok || !l.stillQueued(r):
-		case l.startRequest(now, r, waiting):
-			d, _ := l.departures.Get(int(q))
-			l.departures.Put(int(q), d.withDeparture(now, n > 0 || i < len(queue)))
-		default:
-			skipped[n] = id
-			n++
-		}
-	}
-	l.departures.TakeDirty()
-	copy(queue[i-n:i], skipped[:n])
-	l.queues[q] = queue[i-n:]
-}
-
 // slowClass reports whether the request's class takes longer to answer than most.
 func (l *Lane) slowClass(r Request) bool {
 	c, _ := l.answerTimes.Get(r.Statement.Class.Name)
@@ -199,21 +21,44 @@
 	return r.Phase == PhaseQueued || r.Phase == PhaseResolving && r.Conn == 0
 }
 
-// startRequest sends a request if it can, and reports whether the request left its queue.
-func (l *Lane) startRequest(now time.Duration, r Request, waiting map[connKey]int) bool {
+// startResult is what became of a request that was to be sent.
+type startResult uint8
+
+const (
+	// startBlocked means that the request still waits, for a slot, a connection or a position.
+	startBlocked startResult = iota
+	// startLeft means that the request left its queue.
+	startLeft
+	// startHeld means that the request begins a transaction, for which no server has room.
+	startHeld
+)
+
+// startRequest sends a request if it can.
+func (l *Lane) startRequest(now time.Duration, r Request, waiting map[connKey]int) startResult {
 	s, ok := l.sessions.Get(r.Session)
 	if !ok {
 		l.requests.Delete(r.ID)
-		return true
+		return startLeft
 	}
 	if s.TxConn != 0 && r.Phase != PhaseResolving {
 		return l.startInTransaction(now, s, r)
 	}
 	if l.view.Term < s.RequiredPosition().Term {
-		return false
+		return startBlocked
 	}
 	cs := l.candidates(now, s, r)
-	opened := false
+	if r.Statement.Kind == KindBegin && len(cs) > 0 {
+		if cs = l.withTransactionRoom(cs); len(cs) == 0 {
+			return startHeld
+		}
+	}
+	return l.startOnServer(now, s, r, cs, waiting)
+}
+
+// startOnServer sends a request to the first server that has a slot and an idle connection for it. If none has, it opens one to the
+// first server that has a slot. A request without a tenant opens one there as soon as it comes by.
+func (l *Lane) startOnServer(now time.Duration, s Session, r Request, cs []Server, waiting map[connKey]int) startResult {
+	missing := connKey{}
 	for _, row := range cs {
 		if row.FreeSlots() <= 0 || r.Statement.Class.Long && row.RunningLong >= row.LongSlots {
 			continue
@@ -223,19 +68,29 @@
 		}
 		if id, ok := l.idleConn(row, r.Statement.Tenant); ok {
 			l.send(now, s, r, row, id)
-			return true
+			return startLeft
 		}
-		if !opened {
-			opened = true
-			k := connKey{server: row.View.Name, tenant: r.Statement.Tenant}
-			waiting[k]++
-			l.openConn(now, k, waiting[k])
+		if missing.server != "" {
+			continue
+		}
+		missing = connKey{server: row.View.Name, tenant: r.Statement.Tenant}
+		if missing.tenant == "" {
+			l.openMissing(now, missing, waiting)
 		}
 	}
+	if missing.tenant != "" {
+		l.openMissing(now, missing, waiting)
+	}
 	if len(cs) > 0 {
 		l.addDemand(cs[0].View.Name, r)
 	}
-	return false
+	return startBlocked
+}
+
+// openMissing counts a request that waits for a connection, and opens one if more wait than are being opened.
+func (l *Lane) openMissing(now time.Duration, k connKey, waiting map[connKey]int) {
+	waiting[k]++
+	l.openConn(now, k, waiting[k])
 }
 
 // waitsForReplica reports whether a read should wait for a replica instead of taking a slot of the primary.
@@ -262,19 +117,19 @@
 }
 
 // startInTransaction sends the next request of an open transaction on the transaction's own connection.
-func (l *Lane) startInTransaction(now time.Duration, s Session, r Request) bool {
+func (l *Lane) startInTransaction(now time.Duration, s Session, r Request) startResult {
 	if l.kind.SemiSync && r.Statement.Kind == KindCommit && s.WriteSucceeded && l.leader() == "" {
 		l.refuse(r, Refusal{Reason: ReasonRolledBack, Retry: retryHint, Detail: "the primary is being replaced"})
-		return true
+		return startLeft
 	}
 	c, ok := l.conns.Get(s.TxConn)
 	row, _ := l.servers.Get(c.Server)
 	if !ok || row.FreeSlots() <= 0 || c.Cancelling {
 		l.addDemand(c.Server, r)
-		return false
+		return startBlocked
 	}
 	l.send(now, s, r, row, c.ID)
-	return true
+	return startLeft
 }
 
 // candidates lists the servers that may run a request, best first.
@@ -300,10 +155,14 @@
 }
 
 func (l *Lane) routeQuery(now time.Duration, s Session, r Request) RouteQuery {
-	return RouteQuery{
+	q := RouteQuery{
 		Now: now, Zone: l.zone, Session: s, Request: r, Primary: l.leader(), Rotation: l.rotation, Samples: l.samples,
 		LeaderAt: l.leaderAt,
 	}
+	if t := r.Statement.Tenant; t != "" {
+		q.OpenCost = func(s Server) time.Duration { return l.openCost(now, s, t) }
+	}
+	return q
 }
 
 // eligible lists the servers that may run a read. The server of the read's last failed attempt is included only if there is
@@ -350,6 +209,8 @@
 	l.ensure(row.Running < row.Slots, "slots_within_share", func() string { return row.View.Name })
 	l.ensure(c.Request == 0 && (c.Session == 0 || c.Session == s.ID), "connection_not_shared",
 		func() string { return fmt.Sprintf("conn %d request %d session %d", c.ID, c.Request, c.Session) })
+	row, c = l.countTransaction(row, c, r)
+	l.countUse(now, c)
 	l.servers.Put(row.View.Name, row.WithoutIdleConn(id).WithRunning(1, r.Statement.Class.Long))
 	l.conns.Put(id, c.WithPhase(now, ConnBusy).WithRequest(r.ID, r.Statement.Class.Long))
 	l.conns.SetDue(id, neverDue)
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -110,7 +110,11 @@
 // releaseConn releases the slot, and also the connection unless the session's transaction continues on it.
 func (l *Lane) releaseConn(now time.Duration, c Conn, r Request, known, txOpen bool) {
 	row, _ := l.servers.Get(c.Server)
-	l.servers.Put(c.Server, row.WithRunning(-1, c.Long))
+	row = row.WithRunning(-1, c.Long)
+	if txOpen && !c.Transaction {
+		row, c = row.WithTransactions(1), c.WithTransaction(true)
+	}
+	l.servers.Put(c.Server, row)
 	_, alive := l.sessions.Get(r.Session)
 	c = c.WithRequest(0, false)
 	switch {
@@ -202,7 +206,7 @@
 	case r.Phase == PhaseResolving:
 		r.Conn = 0
 		l.requests.Put(r.ID, r)
-		l.queues[QueueResolve] = append(l.queues[QueueResolve], r.ID)
+		l.join(QueueResolve, r)
 	case s.TxConn == e.Conn:
 		l.transactionInterrupted(now, s, r.WithoutConn(), e)
 	default:
--- a/internal/caller/resolve.go
+++ b/internal/caller/resolve.go
@@ -11,7 +11,7 @@
 	r = r.WithResolving(now + ResolveTimeout)
 	l.requests.Put(r.ID, r)
 	l.requests.SetDue(r.ID, r.Deadline)
-	l.queues[QueueResolve] = append(l.queues[QueueResolve], r.ID)
+	l.join(QueueResolve, r)
 }
 
 // resolvingRequest returns the rows behind the result of a lookup or tombstone, and false if the result is stray.
--- a/internal/caller/rows.go
+++ b/internal/caller/rows.go
@@ -363,6 +363,8 @@
 	OpenedAt   time.Duration
 	// Long is set if the running request belongs to a long class.
 	Long bool
+	// Transaction is set if the connection belongs to an open transaction, or to a request that begins one.
+	Transaction bool
 	// Cancelling is set if a cancel request may still be in flight, which must not cancel another request.
 	Cancelling bool
 }
@@ -373,6 +375,12 @@
 	return c
 }
 
+// WithTransaction returns the row in an open transaction, or in none.
+func (c Conn) WithTransaction(open bool) Conn {
+	c.Transaction = open
+	return c
+}
+
 // WithPhase returns the row in another phase since now.
 func (c Conn) WithPhase(now time.Duration, p ConnPhase) Conn {
 	c.Phase = p
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -21,6 +21,12 @@
 	OpenConns    int
 	OpeningConns int
 	IdleConns    []ConnID
+	// Transactions counts the open transactions of the lane at the server, including those that are about to begin.
+	Transactions int
+	// Retired is set while the node does not serve the group any more.
+	Retired bool
+	// OpenTime is the moving average of the time to open a connection.
+	OpenTime time.Duration
 	// RetryAt is the earliest time of the next attempt to connect.
 	RetryAt time.Duration
 	// Reads that accept an age avoid the server until BehindUntil if it lacked their position, and until DeclinedUntil if it
@@ -134,6 +140,27 @@
 	return s
 }
 
+// WithRetired returns the row on a node that does not serve the group any more, or serves it.
+func (s Server) WithRetired(retired bool) Server {
+	s.Retired = retired
+	return s
+}
+
+// WithTransactions returns the row with n more, or fewer, open transactions.
+func (s Server) WithTransactions(n int) Server {
+	s.Transactions += n
+	return s
+}
+
+// WithOpenTime returns the row after a connection that took d to open.
+func (s Server) WithOpenTime(d time.Duration) Server {
+	if s.OpenTime == 0 {
+		s.OpenTime = d
+	}
+	s.OpenTime += time.Duration(meanWeight * float64(d-s.OpenTime))
+	return s
+}
+
 // WithIdleConn returns the row with one more idle connection, which is used first.
 func (s Server) WithIdleConn(c ConnID) Server {
 	s.IdleConns = append(s.IdleConns[:len(s.IdleConns):len(s.IdleConns)], c)
--- a/internal/fleet/region_test.go
+++ b/internal/fleet/region_test.go
@@ -67,8 +67,8 @@
 	return failed
 }
 
-// TestMoveToRegions guards against requests that are lost, and transactions that are cut, when a change of the configuration moves a
-// group from one node of each zone to one of each region and back.
+// TestMoveToRegions guards against requests that are lost, and transactions that are cut, when a change of the configuration
+// moves a group from one node of each zone to one of each region and back.
 func TestMoveToRegions(t *testing.T) {
 	const byZone, byRegion = 24, 21
 	c := qt.New(t)
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -84,8 +84,8 @@
 }
 
 // servingNodes returns the names of the nodes that serve a group: all members if the group's servers allow connectionsPerNode
-// connections from each, and one of each zone or region otherwise. It also returns those of them that may promote the group's servers:
-// all, or the stand-ins if there are any. n.mu must be held.
+// connections from each, and one of each zone or region otherwise. It also returns those of them that may promote the group's
+// servers: all, or the stand-ins if there are any. n.mu must be held.
 func (n *Node) servingNodes(g bundle.Group, tenants int) (names, promoters []string) {
 	if len(n.members)*connectionsPerNode > g.ConnectionsPerServer {
 		dispatchers, standIns := n.groupDispatchers(g, tenants).Serving(g.Name, n.isSuspect)
--- a/internal/peer/dispatchers.go
+++ b/internal/peer/dispatchers.go
@@ -8,9 +8,9 @@
 	"buckthornport.example/buckthornport/internal/table"
 )
 
-// Dispatchers holds, for each database group, the node of each area that serves the group for the other nodes of the area: the first
-// one by weighted rendezvous hash. An area is an availability zone, or a region if WithAreas says so. A region's dispatcher is thus
-// also that of its zone. The weight is the square of the processor share, so that a few large nodes take
+// Dispatchers holds, for each database group, the node of each area that serves the group for the other nodes of the area: the
+// first one by weighted rendezvous hash. An area is an availability zone, or a region if WithAreas says so. A region's
+// dispatcher is thus also that of its zone. The weight is the square of the processor share, so that a few large nodes take
 // most of the groups even among many small ones. Members without a zone are left out.
 //
 // A member that joins costs one hash per group, and one that leaves costs the hashes of its zone for each group that it served.
--- a/internal/peer/dispatchers_test.go
+++ b/internal/peer/dispatchers_test.go
@@ -174,8 +174,8 @@
 	})
 }
 
-// TestRegionalDispatchers guards against requests that are declined while nodes disagree on whether one node of each zone or of each
-// region serves a group: a region's dispatcher has to be one of its zones', too.
+// TestRegionalDispatchers guards against requests that are declined while nodes disagree on whether one node of each zone or of
+// each region serves a group: a region's dispatcher has to be one of its zones', too.
 func TestRegionalDispatchers(t *testing.T) {
 	regions := map[string]string{"a": "r", "b": "r", "c": "q", "d": "q"}
 	rapid.Check(t, func(t *rapid.T) {
