--- a/internal/caller/tenant_conns_test.go
+++ b/internal/caller/tenant_conns_test.go
@@ -40,6 +40,7 @@
 		first := only[caller.Open](c, f.request(1, tenantWrite("a")))
 		f.finishWrite(c, first)
 		f.finishWrite(c, only[caller.Open](c, f.request(2, tenantWrite("b"))))
+		f.now += time.Second // connections that have just been opened are kept
 		as := f.request(3, tenantWrite("c"))
 		c.Assert(only[caller.Close](c, as).Conn, qt.Equals, first.Conn)
 		c.Assert(only[caller.Open](c, as).Tenant, qt.Equals, "c")
