Tenants' connections: chosen by expected use, and none opened in vain

Cause: requests of tenants had a connection opened at each server that they might use; under the load of 76 tenants with three hot ones, 65 of the others' requests timed out behind openings. A TOOMANY counted as a sign that the server has failed. Change: no more connections are opened for a tenant than its requests wait, over all servers that may serve them. A request's expected wait counts exactly what is served before it. Reads of slow classes with a tenant stay in the queue of the others.

--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -138,18 +138,14 @@
 	empty      bool
 }
 
-// place returns where a request would join a queue. Each other tenant that waits is served as often as the request's own until its
-// turn, unless less waits.
+// place returns where a request would join a queue.
 func (l *Lane) place(q QueueID, r Request) place {
 	f := l.queues[q]
-	own, others := f.ownFlow(l.policy.Share(r))
-	p, waiting, mine := place{departures: int(q)}, f.waiting, len(own.ids)
-	if r.Statement.Kind == KindBegin && len(own.held) > 0 {
-		p, waiting, mine = place{departures: int(q) + heldDepartures}, f.held, len(own.held)
+	row, _ := f.flows.Get(l.policy.Share(r))
+	if r.Statement.Kind == KindBegin && len(row.held) > 0 {
+		return place{departures: int(q) + heldDepartures, ahead: f.held.ahead(len(row.held))}
 	}
-	p.ahead = min(waiting, mine+(mine+1)*others)
-	p.empty = waiting == 0
-	return p
+	return place{departures: int(q), ahead: f.waiting.ahead(len(row.ids)), empty: len(f.waiting) == 0}
 }
 
 // expectedWait estimates how long a request that joins a queue would wait, from the interval at which requests leave it. The
--- a/internal/caller/audit.go
+++ b/internal/caller/audit.go
@@ -77,7 +77,7 @@
 func (l *Lane) queueLength() int {
 	n := 0
 	for _, q := range l.queues {
-		n += q.waiting + q.held
+		n += q.waiting.total() + q.held.total()
 	}
 	return n
 }
--- a/internal/caller/fair.go
+++ b/internal/caller/fair.go
@@ -37,30 +37,55 @@
 type fairQueue struct {
 	flows *table.Table[string, flow]
 	ring  []string
-	// waiting and held count the entries of all flows. Requests that were refused meanwhile count until a step comes by.
-	waiting int
-	held    int
+	// waiting and held count the entries of the flows. Requests that were refused meanwhile count until a step comes by.
+	waiting entryCounts
+	held    entryCounts
 	// next is where the last step stopped that looked at tenants beyond the first maxFlowScan ones, counted from there.
 	next int
 }
 
-func newFairQueue() fairQueue {
-	return fairQueue{flows: table.New[string, flow]()}
+// entryCounts counts the tenants by their entries in a list: the element at k is how many have more than k.
+type entryCounts []int
+
+// withChange returns the counts after a tenant's entries have changed in number.
+func (n entryCounts) withChange(from, to int) entryCounts {
+	for ; from < to; from++ {
+		if from == len(n) {
+			n = append(n, 0)
+		}
+		n[from]++
+	}
+	for ; from > to; from-- {
+		n[from-1]--
+	}
+	for len(n) > 0 && n[len(n)-1] == 0 {
+		n = n[:len(n)-1]
+	}
+	return n
 }
 
-// ownFlow returns the row of a tenant and how many others wait.
-func (f fairQueue) ownFlow(name string) (own flow, others int) {
-	own, ok := f.flows.Get(name)
-	if ok {
-		return own, len(f.ring) - 1
+// ahead returns how many entries are served before a new one of a tenant that has some already: of each tenant as many, and one
+// more.
+func (n entryCounts) ahead(own int) int {
+	sum := 0
+	for k := range min(own+1, len(n)) {
+		sum += n[k]
 	}
-	return own, len(f.ring)
+	return sum
+}
+
+// total returns the number of entries of all tenants.
+func (n entryCounts) total() int {
+	return n.ahead(len(n))
+}
+
+func newFairQueue() fairQueue {
+	return fairQueue{flows: table.New[string, flow]()}
 }
 
 // put replaces the row of a tenant.
 func (f *fairQueue) put(name string, old, row flow) {
-	f.waiting += len(row.ids) - len(old.ids)
-	f.held += len(row.held) - len(old.held)
+	f.count(old, row)
 	if row.empty() {
 		f.flows.Delete(name)
 	} else {
@@ -69,6 +94,12 @@
 	f.flows.TakeDirty()
 }
 
+// count counts the entries of a changed row.
+func (f *fairQueue) count(old, row flow) {
+	f.waiting = f.waiting.withChange(len(old.ids), len(row.ids))
+	f.held = f.held.withChange(len(old.held), len(row.held))
+}
+
 // flowToJoin returns the row that a request joins. A tenant that did not wait before joins the ring at its end.
 func (l *Lane) flowToJoin(q QueueID, r Request) (name string, row flow) {
 	f := &l.queues[q]
@@ -101,6 +132,30 @@
 	l.queues[q].put(name, old, row)
 }
 
+// dropRefused removes requests that were refused from the head of a tenant's requests. The row stays until a step comes by,
+// even if it is empty, since the tenant is still in the ring.
+func (l *Lane) dropRefused(q QueueID, name string) {
+	f := &l.queues[q]
+	old, ok := f.flows.Get(name)
+	if !ok {
+		return
+	}
+	row := flow{ids: l.withoutRefused(old.ids), held: l.withoutRefused(old.held), deficit: old.deficit}
+	f.count(old, row)
+	f.flows.Put(name, row)
+	f.flows.TakeDirty()
+}
+
+func (l *Lane) withoutRefused(ids []RequestID) []RequestID {
+	for len(ids) > 0 {
+		if r, ok := l.requests.Get(ids[0]); ok && l.stillQueued(r) {
+			break
+		}
+		ids = ids[1:]
+	}
+	return ids
+}
+
 // dispatchQueues starts the requests that have a slot and a connection, queue by queue in order of priority.
 func dispatchQueues(l *Lane, now time.Duration) {
 	l.requests.TakeDirty()
--- a/internal/caller/load_test.go
+++ b/internal/caller/load_test.go
@@ -263,3 +263,21 @@
 		f.After(at-f.Now(), func() { f.arrive(k) })
 	}
 }
+
+// opened returns how many connections were opened.
+func (f *loadLane) opened() int {
+	n := 0
+	for _, k := range f.opens {
+		n += k
+	}
+	return n
+}
+
+// inTime returns how many requests of all tenants were served in time.
+func (f *loadLane) inTime() int {
+	n := 0
+	for _, t := range f.tenants {
+		n += t.inTime
+	}
+	return n
+}
--- a/internal/caller/policy.go
+++ b/internal/caller/policy.go
@@ -138,9 +138,10 @@
 }
 
 // queueByAnswerTime is queueByClass with reads of slow classes behind the others. When slots are scarce, serving the shorter
-// reads first answers more requests.
+// reads first answers more requests. Reads of tenants stay together: the surplus of a hot tenant would keep those of the others
+// behind it from being served at all, and a slow class costs its tenant more of its share.
 func queueByAnswerTime(r Request, slow bool) QueueID {
-	if q := queueByClass(r); q != QueueAged || !slow {
+	if q := queueByClass(r); q != QueueAged || !slow || r.Statement.Tenant != "" {
 		return q
 	}
 	return QueueLong
--- a/internal/caller/pool.go
+++ b/internal/caller/pool.go
@@ -34,10 +34,6 @@
 	if l.opening[k] >= waiting || now < row.RetryAt || !row.View.Alive {
 		return
 	}
-	if k.tenant != "" && row.OpeningConns >= row.FreeSlots() {
-		// Opening a connection takes a slot, too.
-		return
-	}
 	if row.OpenConns+row.OpeningConns >= row.ConnLimit {
 		if !l.evictConn(now, row, k.tenant) {
 			return
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -75,11 +75,12 @@
 		}
 		missing = connKey{server: row.View.Name, tenant: r.Statement.Tenant}
 		if missing.tenant == "" {
-			l.openMissing(now, missing, waiting)
+			waiting[missing]++
+			l.openConn(now, missing, waiting[missing])
 		}
 	}
 	if missing.tenant != "" {
-		l.openMissing(now, missing, waiting)
+		l.openTenantConn(now, missing, cs, waiting)
 	}
 	if len(cs) > 0 {
 		l.addDemand(cs[0].View.Name, r)
@@ -87,12 +88,6 @@
 	return startBlocked
 }
 
-// openMissing counts a request that waits for a connection, and opens one if more wait than are being opened.
-func (l *Lane) openMissing(now time.Duration, k connKey, waiting map[connKey]int) {
-	waiting[k]++
-	l.openConn(now, k, waiting[k])
-}
-
 // waitsForReplica reports whether a read should wait for a replica instead of taking a slot of the primary.
 func (l *Lane) waitsForReplica(now time.Duration, r Request, cs []Server, row Server) bool {
 	until := r.Arrived + l.policy.ReplicaWait
--- a/internal/caller/resolve.go
+++ b/internal/caller/resolve.go
@@ -127,6 +127,9 @@
 		l.requests.SetDue(r.ID, r.Deadline)
 		return
 	}
+	if name := l.policy.Share(r); name != "" {
+		defer l.dropRefused(l.policy.SelectQueue(r, l.slowClass(r)), name)
+	}
 	switch {
 	case r.Sent:
 		l.refuse(r, Refusal{Reason: ReasonInterrupted, Retry: retryHint})
--- a/internal/caller/tenantconns.go
+++ b/internal/caller/tenantconns.go
@@ -12,10 +12,12 @@
 	// initialOpenTime is the assumed time to open a connection to a server to which none was opened yet.
 	initialOpenTime = 13 * time.Millisecond
 	// minTenure is for how long a connection is kept after it was opened, in times to open one, although another tenant needs the
-	// place. Tenants that compete for connections thus spend at most a ninth of the time opening them.
-	minTenure = 8
+	// place. Tenants that compete for connections thus spend at most a fifth of the time opening them.
+	minTenure = 4
+	// slotsPerOpening is how many of the lane's slots at a server there are for each connection that may be opened at once.
+	slotsPerOpening = 3
 	// useMemory is the time constant of the average rate at which connections are used.
-	useMemory = 2 * time.Second
+	useMemory = 5 * time.Second
 )
 
 // connUse is the row of one tenant's connections to a server: how many there are, with those that are being opened, how many of
@@ -99,6 +101,21 @@
 	return openTime(s) + max(0, s.RetryAt-now)
 }
 
+// openTenantConn opens a connection for a tenant's request that may run on any of the given servers, unless as many are being
+// opened to these as requests of the tenant wait. Opening one takes time in a slot of the server, so only a part of the slots
+// is used for it.
+func (l *Lane) openTenantConn(now time.Duration, k connKey, ss []Server, waiting map[connKey]int) {
+	all, opening := connKey{tenant: k.tenant}, 0
+	waiting[all]++
+	for _, s := range ss {
+		opening += l.opening[connKey{server: s.View.Name, tenant: k.tenant}]
+	}
+	row, _ := l.servers.Get(k.server)
+	if opening < waiting[all] && row.OpeningConns < max(1, row.Slots/slotsPerOpening) {
+		l.openConn(now, k, waiting[all])
+	}
+}
+
 // evictConn closes an idle connection to a server in favor of a tenant, and reports whether there was one. It is the connection of
 // another tenant with the least expected use until it is open again; of those, the one that has been idle for the longest time.
 func (l *Lane) evictConn(now time.Duration, row Server, tenant string) bool {
--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -266,7 +266,10 @@
 	}
 	l.Dial = func(ctx context.Context, a caller.Open, post func(caller.Event)) (traffic.UpstreamConn, error) {
 		u, err := n.controlClient.DialUpstream(ctx, n.listener, group, a, post)
-		if err != nil {
+		switch {
+		case errors.Is(err, traffic.ErrConnectionLimit):
+			n.auditDependency(a.Server, "connection_limit", err)
+		case err != nil:
 			n.auditDependency(a.Server, "connection_refused", err)
 		}
 		return u, err
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -169,11 +169,14 @@
 			continue
 		}
 		nodes := n.assignments[s.group].nodes
-		rank := max(0, slices.Index(nodes, n.settings.Peer))
+		rank := slices.Index(nodes, n.settings.Peer)
+		retired := len(nodes) > 0 && rank < 0
+		rank = max(0, rank)
 		limits := caller.LimitsUpdated{
-			Server: id,
-			Slots:  max(minSlots, n.visibleShare(nodes, peer.Share(s.slots*queuedPerSlot, max(1, len(nodes)), rank))),
-			Conns:  max(1, n.visibleShare(nodes, peer.Share(g.ConnectionsPerServer, max(1, len(nodes)), rank))-controlConnections),
+			Server:  id,
+			Slots:   max(minSlots, n.visibleShare(nodes, peer.Share(s.slots*queuedPerSlot, max(1, len(nodes)), rank))),
+			Conns:   max(1, n.visibleShare(nodes, peer.Share(g.ConnectionsPerServer, max(1, len(nodes)), rank))-controlConnections),
+			Retired: retired,
 		}
 		if n.limits[id] != limits {
 			n.limits[id] = limits
--- a/internal/traffic/lane.go
+++ b/internal/traffic/lane.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -16,6 +17,9 @@
 	slotsTimeout  = 400 * time.Millisecond
 )
 
+// ErrConnectionLimit reports that a server refused a connection because it has as many as it accepts.
+var ErrConnectionLimit = errors.New("the server has as many connections as it accepts")
+
 // Lane runs the traffic of one database on this node.
 type Lane struct {
 	// Callers answers the lane's callers in their protocol.
@@ -227,7 +231,7 @@
 	}
 	switch {
 	case err != nil:
-		l.Post(caller.ConnFailed{Conn: a.Conn})
+		l.Post(caller.ConnFailed{Conn: a.Conn, Full: errors.Is(err, ErrConnectionLimit)})
 	case !wanted:
 		u.Close()
 	default:
