Counters by tenant, bounded to the 20 with the most requests

Cause: with tenants, nothing tells whose requests wait or are refused. Change: each lane counts asked, served and refused requests and their waits for 20 tenants, and all others as one; records about requests name the tenant.

--- a/internal/caller/audit.go
+++ b/internal/caller/audit.go
@@ -45,6 +45,9 @@
 	}
 	c = c.WithEvidence("class", r.Statement.Class.Name).WithEvidence("waited_ms", millis(now-r.Arrived)).
 		WithEvidence("attempts", strconv.Itoa(r.Attempts))
+	if r.Statement.Tenant != "" {
+		c = c.WithEvidence("tenant", r.Statement.Tenant)
+	}
 	c.Evidence = append(c.Evidence, more...)
 	l.writeAuditRecord(c)
 }
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -72,6 +72,7 @@
 	onViolation         func(invariant, detail string)
 	trace               func(id string) bool
 	stats               Stats
+	tenants             tenantCounters
 	actions             []Action
 	systems             []system
 }
@@ -120,6 +121,8 @@
 	Service [classKindCount]metrics.Histogram `json:"service"`
 	// EvidenceAge is the age of the newest leadership evidence at the time when each request was sent.
 	EvidenceAge metrics.Histogram `json:"evidence_age"`
+	// Tenants counts the requests of the tenants with the most of them, and of all others together in the last element.
+	Tenants []TenantStats `json:"tenants,omitempty"`
 }
 
 // Option configures a Lane.
@@ -175,6 +178,7 @@
 		slotDemand:    map[string]demand{},
 		opening:       map[connKey]int{},
 		connUses:      map[connKey]connUse{},
+		tenants:       newTenantCounters(),
 		retryBudget:   maxRetryBudget,
 		jitter:        func(limit time.Duration) time.Duration { return limit / 2 },
 		onViolation:   func(string, string) {},
@@ -233,7 +237,9 @@
 
 // Stats returns the counters since the lane's start.
 func (l *Lane) Stats() Stats {
-	return l.stats
+	s := l.stats
+	s.Tenants = l.tenants.rows()
+	return s
 }
 
 // InFlight returns the number of unanswered requests and the number of open sessions.
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -224,6 +224,7 @@
 		func() string { return fmt.Sprintf("request %d attempt %d", r.ID, r.Attempts+1) })
 	l.checkFloor(s, r, row)
 	l.stats.countSent(now, r, l.lastLeaderConfirmed())
+	l.tenants.countSent(now, r)
 	r = r.WithRun(now, id, row.View.Name)
 	r = r.WithHeld(l.kind.HoldsAnswers || l.kind.NeedsConfirmation(s, r) || r.Statement.Kind == KindBegin)
 	if row.View.Name == l.view.Primary && l.needsLeadership(r) {
--- a/internal/caller/sessions.go
+++ b/internal/caller/sessions.go
@@ -83,6 +83,7 @@
 		Deadline: now + e.Statement.Class.Deadline(), Traced: l.trace(e.Statement.ID),
 	}
 	l.stats.Requests++
+	l.tenants.countRequest(r)
 	if s.TxFailed {
 		l.answerFailedTransaction(s, r)
 		return
@@ -214,6 +215,7 @@
 		return
 	}
 	l.stats.Refused++
+	l.tenants.countRefused(r)
 	s = l.abortTransaction(s.WithActive(0), r)
 	l.sessions.Put(s.ID, s)
 	l.actions = append(l.actions, Refuse{Session: s.ID, Seq: r.Seq, Refusal: why, TransactionFailed: s.TxFailed})
@@ -241,12 +243,14 @@
 // refuseUnqueued refuses a request that has no row.
 func (l *Lane) refuseUnqueued(s Session, r Request, why Refusal) {
 	l.stats.Refused++
+	l.tenants.countRefused(r)
 	l.actions = append(l.actions, Refuse{Session: s.ID, Seq: r.Seq, Refusal: why})
 	l.endIfClosing(s)
 }
 
 // finish ends a request that was answered.
 func (l *Lane) finish(r Request, change func(Session) Session) {
+	l.tenants.countServed(r)
 	l.requests.Delete(r.ID)
 	l.retryBudget = min(maxRetryBudget, l.retryBudget+retryBudgetPerAnswer)
 	s, ok := l.sessions.Get(r.Session)
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -35,6 +35,14 @@
 		t.Histogram("service_seconds", s.Stats.Service[k], class...)
 	}
 	t.Histogram("evidence_age_seconds", s.Stats.EvidenceAge, group...)
+	for _, v := range s.Stats.Tenants {
+		tenant := with("tenant", v.Tenant)
+		t.Line("tenant_requests_total", v.Requests, append(tenant[:4:4], "outcome", "asked")...)
+		t.Line("tenant_requests_total", v.Served, append(tenant[:4:4], "outcome", "served")...)
+		t.Line("tenant_requests_total", v.Refused, append(tenant[:4:4], "outcome", "refused")...)
+		t.Line("tenant_queue_wait_seconds_sum", v.Waited.Seconds(), tenant...)
+		t.Line("tenant_queue_wait_seconds_count", v.Sent, tenant...)
+	}
 	for _, v := range s.Servers {
 		server := with("server", v.Name, "role", v.Role)
 		t.Line("server_running", v.Running, server...)
