--- a/internal/caller/pool.go
+++ b/internal/caller/pool.go
@@ -34,10 +34,6 @@
 	if l.opening[k] >= waiting || now < row.RetryAt || !row.View.Alive {
 		return
 	}
-	if k.tenant != "" && row.OpeningConns >= row.FreeSlots() {
-		// Opening a connection takes a slot, too.
-		return
-	}
 	if row.OpenConns+row.OpeningConns >= row.ConnLimit {
 		if !l.evictConn(now, row, k.tenant) {
 			return
@@ -95,7 +91,7 @@
 	end := min(now+ConnIdleTimeout, c.OpenedAt+ConnLifetime+l.jitter(ConnLifetime/4))
 	switch {
 	case c.Tenant != "" && !row.Retired:
-		end = min(end, now+tenantIdleTimeout)
+		end = min(end, now+l.tenantIdleTimeout(row))
 	case l.policy.IdleTimeout > 0:
 		end = min(end, now+l.policy.IdleTimeout)
 	}
