Rate limits of tenants: credit lent by a home, under a lease

Cause: a tenant's limit holds for all nodes together, while its operations arrive at any of them. The membership names lost members, so that all nodes agree on the witnesses.

--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -145,5 +145,7 @@
 		return
 	}
 	m.membersChanged = false
-	m.actions = append(m.actions, MembersChanged{Members: m.Alive(), Known: m.members.Len() + 1, VMsListed: m.vmsListed})
+	m.actions = append(m.actions, MembersChanged{
+		Members: m.Alive(), Known: m.members.Len() + 1, Lost: m.lost(), VMsListed: m.vmsListed,
+	})
 }
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -148,6 +148,17 @@
 	return us
 }
 
+// lost returns the members that are considered dead.
+func (m *Membership) lost() []Update {
+	var us []Update
+	for _, k := range m.members.Keys() {
+		if r, _ := m.members.Get(k); r.State == StateDead {
+			us = append(us, r.update())
+		}
+	}
+	return us
+}
+
 // Version returns the version of the bundle that this node passes on.
 func (m *Membership) Version() uint64 {
 	return m.bundleVersion
--- a/internal/peer/rendezvous.go
+++ b/internal/peer/rendezvous.go
@@ -52,6 +52,50 @@
 	return s
 }
 
+const (
+	// limitHomes is the number of members that keep the limits of tenants for all others.
+	limitHomes = 12
+	// limitWitnesses is the number of members that confirm who keeps a tenant's limit.
+	limitWitnesses = 5
+)
+
+// LimitHomes returns the names of the members that keep the limits of tenants, chosen by weighted rendezvous hash, best first.
+func LimitHomes(members []Update) []string {
+	names := make([]string, 0, limitHomes)
+	for _, u := range sortByScore(members, "limits")[:min(limitHomes, len(members))] {
+		names = append(names, u.Name)
+	}
+	return names
+}
+
+// LimitWitnesses returns the names of the members that confirm who keeps a tenant's limit, chosen by weighted rendezvous hash. They
+// are spread evenly over the zones as far as possible.
+func LimitWitnesses(members []Update) []string {
+	var names []string
+	inZone := map[string]int{}
+	candidates := sortByScore(members, "witnesses")
+	for most := 1; len(names) < min(limitWitnesses, len(members)); most++ {
+		for _, u := range candidates {
+			if len(names) < limitWitnesses && inZone[u.Zone] < most && !slices.Contains(names, u.Name) {
+				names = append(names, u.Name)
+				inZone[u.Zone]++
+			}
+		}
+	}
+	return names
+}
+
+// sortByScore returns the members sorted by their weighted rendezvous hashes for a key, best first.
+func sortByScore(members []Update, key string) []Update {
+	scores := make(map[string]float64, len(members))
+	for _, u := range members {
+		scores[u.Name] = score(u, key)
+	}
+	return slices.SortedFunc(slices.Values(members), func(a, b Update) int {
+		return cmp.Or(cmp.Compare(scores[b.Name], scores[a.Name]), cmp.Compare(a.Name, b.Name))
+	})
+}
+
 const (
 	// storeReaders is the number of nodes of each region that read the platform's store for the other nodes of the region.
 	storeReaders = 2
--- a/internal/peer/rows.go
+++ b/internal/peer/rows.go
@@ -221,6 +221,8 @@
 	Members []Update
 	// Known counts all nodes, also leaving and dead ones.
 	Known int
+	// Lost holds the members that are considered dead.
+	Lost []Update
 	// VMsListed reports whether the platform's VM list has been received. Members then includes nodes that were never contacted.
 	VMsListed bool
 }
