Messages about the limits of tenants on the peer link

Cause: homes, borrowers and witnesses of limits exchange questions and answers. Measured: TestLimitMessage round-trips drawn messages.

--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -18,6 +18,7 @@
 
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/platform"
+	"buckthornport.example/buckthornport/internal/tenant"
 	"buckthornport.example/buckthornport/internal/traffic"
 )
 
@@ -35,6 +36,8 @@
 type Link struct {
 	receive         func(m peer.Message)
 	receiveTable    func(from string, t platform.TableMessage)
+	receiveLimit    func(from string, m tenant.Message)
+	dialFailed      func(address string, err error)
 	tls             func() *tls.Config
 	countBytes      func(zone string, bytes int)
 	handleJobs      func(a ReplySender) JobHandlers
@@ -79,6 +82,7 @@
 func New(receive func(m peer.Message), opts ...Option) (*Link, error) {
 	l := &Link{
 		receive: receive, receiveTable: func(string, platform.TableMessage) {},
+		receiveLimit: func(string, tenant.Message) {}, dialFailed: func(string, error) {},
 		conns: map[string]*peerConn{}, inbound: map[net.Conn]bool{},
 		tls: func() *tls.Config { return nil }, countBytes: func(string, int) {}, panicked: func(error) {},
 	}
@@ -165,6 +169,10 @@
 			l.serveJobs(stream, r)
 			return
 		}
+		if p.Limit != nil {
+			l.receiveLimit(p.From, decodeLimit(p.Limit))
+			continue
+		}
 		if p.Table == nil {
 			l.receive(decode(&p))
 			continue
@@ -278,6 +286,7 @@
 				if stream, closeAll, err = n.dial(); err != nil {
 					stream = nil
 					n.link.messagesDropped.Add(1)
+					n.link.dialFailed(n.address, err)
 					continue
 				}
 			}
