Rate limits of tenants at callers' sessions

Cause: limits in the configuration were read and not applied. Change: the first statement of an operation of a limited tenant goes to the node's account before a lane or the relay sees it; the wait counts towards the queue timeout and ends with the session or with the drain. Refusals are BUSY, or SQLSTATE 53400, with the time until the operation fits. Settings rate_window_ms, rate_tolerance and rate_slack; counters on /metrics and bounded log records. Without limits no loop runs and no message is sent.

--- a/internal/caller/messages.go
+++ b/internal/caller/messages.go
@@ -340,6 +340,8 @@
 	ReasonFailedTransaction
 	// ReasonCancelled means that the caller cancelled the request before it was sent.
 	ReasonCancelled
+	// ReasonOverLimit means that the tenant has reached the limit of its operations; the request did not run.
+	ReasonOverLimit
 )
 
 // Refusal is a typed error for a caller. Retry is a hint for the delay before the next attempt; zero means no hint.
@@ -381,6 +383,8 @@
 		return "XP002"
 	case ReasonFailedTransaction:
 		return "25P02"
+	case ReasonOverLimit:
+		return "53400"
 	default:
 		return "57014"
 	}
@@ -409,4 +413,5 @@
 	ReasonNoFloor:           "not run: no primary can tell what this session has written",
 	ReasonFailedTransaction: "not run: the current transaction has failed, end it first",
 	ReasonCancelled:         "not run: cancelled by the caller",
+	ReasonOverLimit:         "not run: over the tenant's limit",
 }
--- a/internal/caller/rows.go
+++ b/internal/caller/rows.go
@@ -44,6 +44,8 @@
 	Writes bool
 	// Tenant is the tenant that sent the request, "" for none.
 	Tenant string
+	// Waited is how long the request has waited for its tenant's limit. It counts towards the deadline and the queue timeout.
+	Waited time.Duration
 }
 
 // Keyed reports whether the request carries an idempotency key, which is stored with its work.
--- a/internal/caller/sessions.go
+++ b/internal/caller/sessions.go
@@ -79,8 +79,8 @@
 	l.ensure(s.Active == 0, "one_request_per_session", func() string { return "second request while one is in flight" })
 	l.lastRequest++
 	r := Request{
-		ID: l.lastRequest, Session: s.ID, Seq: e.Seq, Statement: e.Statement, Arrived: now,
-		Deadline: now + e.Statement.Class.Deadline(), Traced: l.trace(e.Statement.ID),
+		ID: l.lastRequest, Session: s.ID, Seq: e.Seq, Statement: e.Statement, Arrived: now - e.Statement.Waited,
+		Deadline: now - e.Statement.Waited + e.Statement.Class.Deadline(), Traced: l.trace(e.Statement.ID),
 	}
 	l.stats.Requests++
 	if s.TxFailed {
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -38,10 +38,10 @@
 		return
 	}
 	r.stats.Requests++
-	class := e.Statement.Class
+	class, arrived := e.Statement.Class, now-e.Statement.Waited
 	q := request{
-		session: e.Session, seq: e.Seq, statement: e.Statement, arrived: now, queueDeadline: now + caller.QueueTimeout(class),
-		deadline: now + class.Deadline() + answerMargin, traced: r.trace(e.Statement.ID),
+		session: e.Session, seq: e.Seq, statement: e.Statement, arrived: arrived, queueDeadline: arrived + caller.QueueTimeout(class),
+		deadline: arrived + class.Deadline() + answerMargin, traced: r.trace(e.Statement.ID),
 	}
 	switch {
 	case s.transactionFailed:
--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -33,6 +33,7 @@
 		peerlink.WithTableHandler(func(from string, t listing.TableMessage) {
 			n.thread.Post(listing.MessageReceived{From: from, Message: t})
 		}),
+		peerlink.WithLimitHandler(n.receiveLimit, n.noteUnreachable),
 		peerlink.WithByteCounter(func(zone string, bytes int) { n.peerBytes.AddSent(n.settings.Distance(zone), bytes) }))
 	return err
 }
@@ -282,11 +283,13 @@
 	if !ok {
 		return platform.Route{}, platform.ErrNoDatabase
 	}
-	tenant, known := r.tenants[key]
+	name, known := r.tenants[key]
 	if r.bundle.KeysRequired && !v.Public && !known {
 		return platform.Route{}, platform.ErrUnknownKey
 	}
-	route := platform.Route{Group: v.Group, Class: v.Class, Version: r.bundle.Version, Tenant: tenant}
+	route := platform.Route{
+		Group: v.Group, Class: v.Class, Version: r.bundle.Version, Tenant: name, Admission: n.admissionFor(r, name),
+	}
 	if l, ok := n.laneFor(v.Group); ok {
 		route.Post = l.Post
 	} else {
--- a/internal/fleet/drain.go
+++ b/internal/fleet/drain.go
@@ -8,6 +8,7 @@
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/peer"
+	"buckthornport.example/buckthornport/internal/tenant"
 	"buckthornport.example/buckthornport/platform"
 )
 
@@ -33,6 +34,7 @@
 func (n *Node) Drain() {
 	n.draining.Store(true)
 	n.thread.Post(peer.DrainStarted{})
+	n.updateLimitMembers()
 	n.notifyDraining()
 	grace := time.Duration(n.grace.Load())
 	started := n.clock()
@@ -85,7 +87,7 @@
 	}
 }
 
-// postToTraffic hands an event to all lanes and to the relay.
+// postToTraffic hands an event to all lanes and to the relay, and has the operations refused that wait for their tenants' limits.
 func (n *Node) postToTraffic(e caller.Event) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -93,4 +95,7 @@
 		l.Post(e)
 	}
 	n.relay.Post(e)
+	if _, ok := e.(caller.DrainStarted); ok {
+		n.postLimitEvent(tenant.DrainStarted{})
+	}
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -22,6 +22,7 @@
 	"buckthornport.example/buckthornport/internal/peerlink"
 	listing "buckthornport.example/buckthornport/internal/platform"
 	"buckthornport.example/buckthornport/internal/settings"
+	"buckthornport.example/buckthornport/internal/tenant"
 	"buckthornport.example/buckthornport/internal/tick"
 	"buckthornport.example/buckthornport/internal/traffic"
 	"buckthornport.example/buckthornport/internal/upstream"
@@ -49,11 +50,13 @@
 	thread          *control.Thread
 	link            *peerlink.Link
 	relay           *traffic.Relay
-	routes          atomic.Pointer[routeTable]
-	draining        atomic.Bool
-	grace           atomic.Int64
-	ctx             context.Context
-	stop            context.CancelFunc
+	// tenantLimits is nil until a configuration limits a tenant.
+	tenantLimits atomic.Pointer[tenantLimits]
+	routes       atomic.Pointer[routeTable]
+	draining     atomic.Bool
+	grace        atomic.Int64
+	ctx          context.Context
+	stop         context.CancelFunc
 
 	// panics counts the panics that cost a connection each.
 	panics                 atomic.Int64
@@ -84,6 +87,9 @@
 	// limits holds the limits of each listed server that were last sent to its lane.
 	limits map[string]caller.LimitsUpdated
 	views  map[string]upstream.GroupView
+	// lostMembers are the members that are considered dead. membersListed is set once the member table was read.
+	lostMembers   []peer.Update
+	membersListed bool
 }
 
 // assignment holds the nodes that serve a group; local is set if this node is one of them.
@@ -104,10 +110,12 @@
 	bundle  bundle.Bundle
 	routes  map[string]bundle.Route
 	tenants map[bundle.KeyDigest]string
+	// limits holds the tenants with limits.
+	limits map[string]tenant.Limit
 }
 
 func newRouteTable(b bundle.Bundle) *routeTable {
-	r := &routeTable{bundle: b, routes: make(map[string]bundle.Route, len(b.Routes)), tenants: b.TenantKeys()}
+	r := &routeTable{bundle: b, routes: make(map[string]bundle.Route, len(b.Routes)), tenants: b.TenantKeys(), limits: limitsOf(b)}
 	for _, v := range b.Routes {
 		r.routes[v.Database] = v
 	}
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -29,6 +29,7 @@
 	n.updateAssignments(b)
 	old := n.routes.Load()
 	next := newRouteTable(b)
+	n.updateTenantLimits(b.Version, next.limits)
 	n.routes.Store(next)
 	n.updateLimits()
 	if next.restrictsAccess(old) {
@@ -96,7 +97,9 @@
 	}
 	n.knownMembers = a.Known
 	n.membersRead = n.membersRead || a.VMsListed
+	n.lostMembers, n.membersListed = a.Lost, a.VMsListed
 	n.mu.Unlock()
+	n.updateLimitMembers()
 	n.assignSources()
 	n.updateShares()
 }
@@ -115,6 +118,7 @@
 		n.assignGroups(b)
 	}
 	n.mu.Unlock()
+	n.updateLimitMembers()
 	n.updateLimits()
 }
 
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -124,6 +124,7 @@
 	t.BytesSent("node", &n.peerBytes)
 	n.failovers.Write(t)
 	writeRelayMetrics(t, s)
+	n.writeLimitMetrics(t)
 	for _, l := range s.Lanes {
 		l.WriteMetrics(t)
 	}
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -32,6 +32,11 @@
 	// of the work for other nodes.
 	Cores    float64 `json:"cores"`
 	LogLevel string  `json:"log_level"`
+	// RateWindowMS, RateTolerance and RateSlack bound what a tenant may run beyond its limit when nodes or links fail: in any window
+	// of RateWindowMS milliseconds, RateTolerance times what the limit allows and RateSlack operations more.
+	RateWindowMS  float64 `json:"rate_window_ms"`
+	RateTolerance float64 `json:"rate_tolerance"`
+	RateSlack     float64 `json:"rate_slack"`
 }
 
 // DefaultGraceMS is the time in milliseconds from SIGTERM to the end of a node on the platform.
@@ -40,9 +45,26 @@
 // DefaultCores is the number of processor cores that a node is assumed to have.
 const DefaultCores = 1
 
+// The defaults of the tolerance around the limits of tenants.
+const (
+	DefaultRateWindowMS  = 5000
+	DefaultRateTolerance = 0.1
+	DefaultRateSlack     = 20
+)
+
+// The bounds of the tolerance around the limits of tenants. Credit lasts for 0.6 of the tolerated time, which must be long enough
+// for an answer from another region.
+const (
+	maxRateWindowMS    = 600_000
+	minToleratedTimeMS = 100
+)
+
 // ParseFleetNode parses and validates the settings of a node on the platform. Its error is a jsonc.ErrorList.
 func ParseFleetNode(file string, source []byte) (FleetNode, error) {
-	f := FleetNode{GraceMS: DefaultGraceMS, LogLevel: DefaultLogLevel, Cores: DefaultCores}
+	f := FleetNode{
+		GraceMS: DefaultGraceMS, LogLevel: DefaultLogLevel, Cores: DefaultCores, RateWindowMS: DefaultRateWindowMS,
+		RateTolerance: DefaultRateTolerance, RateSlack: DefaultRateSlack,
+	}
 	d := jsonc.Decode(file, source, &f)
 	for path, v := range map[string]string{"node": f.Node, "zone": f.Zone} {
 		if v == "" {
@@ -65,9 +87,28 @@
 	if f.GraceMS <= 0 {
 		d.AddError("grace_ms", "is not a positive number", "want a number of milliseconds above zero")
 	}
+	f.checkRates(d)
 	return f, d.Err()
 }
 
+// checkRates checks the tolerance around the limits of tenants.
+func (f FleetNode) checkRates(d *jsonc.Document) {
+	if f.RateWindowMS <= 0 || f.RateWindowMS > maxRateWindowMS {
+		d.AddError("rate_window_ms", "is out of range",
+			fmt.Sprintf("want a number of milliseconds above zero, at most %d", maxRateWindowMS))
+	}
+	switch {
+	case f.RateTolerance <= 0 || f.RateTolerance > 1:
+		d.AddError("rate_tolerance", "is out of range", "want a number above zero, at most 1")
+	case f.RateTolerance*f.RateWindowMS < minToleratedTimeMS:
+		d.AddError("rate_tolerance", "is too small for the window",
+			fmt.Sprintf("want a number that is at least %d when multiplied by rate_window_ms", minToleratedTimeMS))
+	}
+	if f.RateSlack < 0 {
+		d.AddError("rate_slack", "is negative", "want a number of operations")
+	}
+}
+
 func checkAddress(d *jsonc.Document, path, value string, required bool) {
 	if value == "" && !required {
 		return
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -50,3 +50,28 @@
 		_, _ = settings.ParseProxy("x", text)
 	})
 }
+
+const validFleetSettings = `{
+  "node": "n", "zone": "a", "listen": "127.0.0.1:1", "ready": "127.0.0.1:2", "peer": "127.0.0.1:3", "store": "127.0.0.1:4",
+}`
+
+// TestRateSettings guards against a tolerance within which no credit could be lent, or with which limits mean nothing.
+func TestRateSettings(t *testing.T) {
+	for _, k := range []struct{ setting, want string }{
+		{`"rate_window_ms": 0`, `(?s).*rate_window_ms: is out of range.*`},
+		{`"rate_tolerance": 2`, `.*rate_tolerance: is out of range.*`},
+		{`"rate_tolerance": 0.01`, `.*rate_tolerance: is too small for the window.*`},
+		{`"rate_slack": -1`, `.*rate_slack: is negative.*`},
+		{`"rate_window_ms": 1000, "rate_tolerance": 0.2, "rate_slack": 0`, ``},
+	} {
+		t.Run(k.setting, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := settings.ParseFleetNode("x", []byte(strings.Replace(validFleetSettings, "\n}", "\n"+k.setting+"\n}", 1)))
+			if k.want == "" {
+				c.Assert(err, qt.IsNil)
+			} else {
+				c.Assert(err, qt.ErrorMatches, k.want)
+			}
+		})
+	}
+}
