Limits: one question to a home in 5 ms, borrowing before the member list is read

Cause: a hot tenant whose callers are all at one node cost a message for each operation, and a node that cannot read the member table had its limited tenants' operations wait to their queue timeouts. Change: questions to a home are batched over 5 ms after the last one. A node without the list borrows, but neither lends nor confirms. A bucket counts only confirmations that have not expired.

--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -118,21 +118,19 @@
 	}
 }
 
-// updateLimitMembers passes the members on, once the member table was read. A draining node is no longer one of them.
+// updateLimitMembers passes the members on. A draining node is no longer one of them.
 func (n *Node) updateLimitMembers() {
 	if n.tenantLimits.Load() == nil {
 		return
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.membersListed {
-		return
-	}
 	members := slices.DeleteFunc(slices.Clone(n.members), func(u peer.Update) bool {
 		return u.Name == n.settings.Peer && n.draining.Load()
 	})
 	all := slices.Concat(members, n.lostMembers)
 	e := tenant.MembersChanged{Homes: peer.LimitHomes(members), Witnesses: peer.LimitWitnesses(all), Known: len(all)}
+	e.Complete = n.membersListed
 	for _, u := range members {
 		if n.isSuspect(u.Name) {
 			e.Suspects = append(e.Suspects, u.Name)
--- a/internal/tenant/account.go
+++ b/internal/tenant/account.go
@@ -1,6 +1,7 @@
 package tenant
 
 import (
+	"maps"
 	"time"
 
 	"buckthornport.example/buckthornport/internal/caller"
@@ -12,6 +13,9 @@
 	askTimeout = 100 * time.Millisecond
 	// probeInterval is the shortest time between two questions to a home that has no credit left.
 	probeInterval = 25 * time.Millisecond
+	// askInterval is the shortest time between two questions to a home, which bounds the messages about a tenant that sends hundreds
+	// of operations a second to one node.
+	askInterval = 5 * time.Millisecond
 	// accountTimeout is how long an unused account is kept.
 	accountTimeout = 10 * time.Second
 )
@@ -25,6 +29,8 @@
 	tenants  *table.Table[string, account]
 	waiting  *table.Table[caller.SessionID, waiter]
 	asks     *table.Table[uint64, question]
+	// askedAt is when each home was last asked.
+	askedAt  map[string]time.Duration
 	lastSeq  uint64
 	draining bool
 	stats    *Stats
@@ -33,7 +39,8 @@
 
 func newAccount(h *homes, lifetime time.Duration, seq uint64, stats *Stats, emit func(a Action)) *Account {
 	return &Account{
-		homes: h, lifetime: lifetime, lastSeq: seq, stats: stats, emit: emit, tenants: table.New[string, account](),
+		homes: h, lifetime: lifetime, lastSeq: seq, stats: stats, emit: emit, askedAt: map[string]time.Duration{},
+		tenants: table.New[string, account](),
 		waiting: table.New[caller.SessionID, waiter](), asks: table.New[uint64, question](),
 	}
 }
@@ -228,8 +235,9 @@
 }
 
 // ask asks the homes for the credit that the waiting operations need and that no unanswered question covers. Each home gets one
-// message for all its tenants.
+// message for all its tenants, at most every askInterval.
 func (a *Account) ask(now time.Duration) {
+	maps.DeleteFunc(a.askedAt, func(_ string, at time.Duration) bool { return now >= at+askInterval })
 	asks := map[string][]Ask{}
 	var order []string
 	for _, name := range a.tenants.TakeDirty() {
@@ -244,6 +252,10 @@
 			a.tenants.SetDue(name, max(t.askAfter, now+probeInterval))
 			continue
 		}
+		if at, ok := a.askedAt[home]; ok {
+			a.tenants.SetDue(name, at+askInterval)
+			continue
+		}
 		if len(asks[home]) == 0 {
 			order = append(order, home)
 		}
@@ -264,6 +276,9 @@
 		q.needs[k.Tenant] = k.Need
 		a.stats.CreditAsked += uint64(k.Need + k.Want)
 	}
+	if home != a.homes.self {
+		a.askedAt[home] = now
+	}
 	a.lastSeq++
 	a.asks.Put(a.lastSeq, q)
 	a.asks.SetDue(a.lastSeq, now+askTimeout)
--- a/internal/tenant/homes.go
+++ b/internal/tenant/homes.go
@@ -21,7 +21,6 @@
 // homes holds the members that may be the home of a tenant.
 type homes struct {
 	self     string
-	known    bool
 	members  MembersChanged
 	refused  map[string]time.Duration
 	rankings map[string][]string
@@ -38,7 +37,7 @@
 	if !slices.Equal(h.members.Homes, e.Homes) {
 		clear(h.rankings)
 	}
-	h.known, h.members = true, e
+	h.members = e
 	lost := 0
 	for _, name := range e.Witnesses {
 		if slices.Contains(e.Suspects, name) {
@@ -98,7 +97,7 @@
 
 // majority reports whether more than half of the known nodes answer.
 func (h *homes) majority() bool {
-	return 2*h.members.Alive > h.members.Known
+	return h.members.Complete && 2*h.members.Alive > h.members.Known
 }
 
 // aliveShare returns the part of the known nodes that answer.
--- a/internal/tenant/leases.go
+++ b/internal/tenant/leases.go
@@ -139,7 +139,7 @@
 	for _, name := range m.Tenants {
 		if b, ok := l.buckets.Get(name); ok && b.mine && m.Seq > b.staleSeq {
 			b = b.withTime(now, r).withConfirmation(confirmation{witness: from, until: at + leaseTime})
-			l.buckets.Put(name, b.withQuorum(names, quorum))
+			l.buckets.Put(name, b.withQuorum(now, names, quorum))
 		}
 	}
 }
--- a/internal/tenant/ledger.go
+++ b/internal/tenant/ledger.go
@@ -63,11 +63,11 @@
 }
 
 // updateQuorums recomputes all leases after the witnesses have changed.
-func (l *Ledger) updateQuorums() {
+func (l *Ledger) updateQuorums(now time.Duration) {
 	names, quorum := l.homes.witnesses()
 	for _, name := range l.buckets.Keys() {
 		b, _ := l.buckets.Get(name)
-		l.buckets.Put(name, b.withQuorum(names, quorum))
+		l.buckets.Put(name, b.withQuorum(now, names, quorum))
 	}
 	l.reassign = true
 }
@@ -130,7 +130,7 @@
 }
 
 func (l *Ledger) assignTenant(now time.Duration, name string) {
-	mine := l.homes.known && l.homes.home(now, name) == l.homes.self
+	mine := l.homes.members.Complete && l.homes.home(now, name) == l.homes.self
 	b, ok := l.buckets.Get(name)
 	switch {
 	case mine && !ok:
--- a/internal/tenant/ledger_rows.go
+++ b/internal/tenant/ledger_rows.go
@@ -96,10 +96,10 @@
 }
 
 // withQuorum returns the bucket with the lease that the confirmations of the given witnesses make up.
-func (b bucket) withQuorum(witnesses []string, quorum int) bucket {
+func (b bucket) withQuorum(now time.Duration, witnesses []string, quorum int) bucket {
 	var until []time.Duration
 	for _, c := range b.confirmations {
-		if slices.Contains(witnesses, c.witness) {
+		if c.until > now && slices.Contains(witnesses, c.witness) {
 			until = append(until, c.until)
 		}
 	}
--- a/internal/tenant/limiter.go
+++ b/internal/tenant/limiter.go
@@ -126,7 +126,7 @@
 	if now >= l.homes.fallbackAt() {
 		l.ledger.bringUpToDate(now)
 		l.homes.fallback = true
-		l.ledger.updateQuorums()
+		l.ledger.updateQuorums(now)
 	}
 	for name, until := range l.homes.refused {
 		if now >= until {
@@ -157,12 +157,12 @@
 		l.ledger.changeLimits(now, e)
 	case MembersChanged:
 		l.ledger.bringUpToDate(now)
-		divided := l.homes.known && !l.homes.majority()
+		divided := l.homes.members.Complete && !l.homes.majority()
 		l.homes.update(now, e)
 		if divided && l.homes.majority() {
 			l.ledger.leases.silentUntil = now + fallbackDelay
 		}
-		l.ledger.updateQuorums()
+		l.ledger.updateQuorums(now)
 		l.account.abandonAsks(now)
 	case Unreachable:
 		if e.Node != l.self {
--- a/internal/tenant/limiter_test.go
+++ b/internal/tenant/limiter_test.go
@@ -83,6 +83,32 @@
 		w.assertServed(c, name, int(0.9*(8+4/1.6)*w.limits[name].Rate))
 	}
 	c.Check(w.refused["large2"], qt.Equals, 0)
+	c.Logf("%.1f messages a second and node", float64(w.messages)/15/67)
+}
+
+// TestOneNode guards against a message for each operation of a hot tenant whose callers are all connected to one node, and against
+// credit that does not reach that node in time.
+func TestOneNode(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 5, 67, map[string]tenant.Limit{"t": {Rate: 262, Burst: 262}})
+	w.Run(5 * time.Second)
+	hot := w.nodes[0]
+	w.atNode = func() *node { return hot }
+	w.load("t", func(now time.Duration) float64 {
+		if now > 10*time.Second {
+			return 6 * 164
+		}
+		return 164
+	})
+	w.Run(10 * time.Second)
+	c.Check(w.refused["t"], qt.Equals, 0)
+	before := w.messages
+	w.Run(20 * time.Second)
+	w.assertBounded()
+	w.assertServed(c, "t", 164*5+262*10)
+	perSecond := float64(w.messages-before) / 10
+	c.Logf("%d admitted, %d refused, %.0f messages a second", len(w.admitted["t"]), w.refused["t"], perSecond)
+	c.Check(perSecond < 500, qt.IsTrue)
 }
 
 // TestSingleFailures guards against a fleet that exceeds the bound, or stops serving, after one failure.
@@ -171,7 +197,7 @@
 				return tenant.LimitsChanged{Version: version, Limits: map[string]tenant.Limit{"t": l}}
 			}
 			es := []tenant.Event{
-				limits(1, high), tenant.MembersChanged{Homes: []string{"a"}, Witnesses: []string{"a"}, Alive: 1, Known: 1},
+				limits(1, high), tenant.MembersChanged{Homes: []string{"a"}, Witnesses: []string{"a"}, Alive: 1, Known: 1, Complete: true},
 			}
 			for now := time.Duration(0); now < 5*time.Second; now += 100 * ms {
 				home.Step(now, es)
--- a/internal/tenant/messages.go
+++ b/internal/tenant/messages.go
@@ -89,6 +89,8 @@
 	// Alive counts the members that answer, and Known all that have not left the fleet.
 	Alive int
 	Known int
+	// Complete is set once the node has read the list of all members. Before that it borrows, but neither lends nor confirms.
+	Complete bool
 }
 
 // Unreachable reports that a node refused a connection.
--- a/internal/tenant/world_test.go
+++ b/internal/tenant/world_test.go
@@ -46,7 +46,9 @@
 	cut   func(a, b *node) bool
 	delay func(a, b *node) time.Duration
 	// refuses is set if a stopped node refuses connections, so that senders notice at once.
-	refuses   bool
+	refuses bool
+	// atNode picks the node at which an operation arrives, a random one by default.
+	atNode    func() *node
 	sessions  caller.SessionID
 	operation map[caller.SessionID]operation
 	admitted  map[string][]time.Duration
@@ -92,6 +94,7 @@
 		}
 		return 800 * time.Microsecond
 	}
+	w.atNode = func() *node { return w.nodes[w.random.Intn(len(w.nodes))] }
 	for name, l := range limits {
 		w.history = append(w.history, inForce{tenant: name, limit: l, until: table.Never})
 	}
@@ -128,7 +131,7 @@
 func (n *node) look() {
 	w := n.world
 	var members, all []peer.Update
-	e := tenant.MembersChanged{Known: len(w.nodes)}
+	e := tenant.MembersChanged{Known: len(w.nodes), Complete: true}
 	for _, o := range w.nodes {
 		if o == n || o.alive && !w.cut(n, o) {
 			delete(n.lostAt, o)
@@ -219,10 +222,10 @@
 	n.post(tenant.Requested{Session: w.sessions, Seq: 1, Tenant: name, Deadline: w.Now() + 2*time.Second})
 }
 
-// load has operations of a tenant arrive at random nodes at a rate that may change over time.
+// load has operations of a tenant arrive at the nodes that atNode picks, at a rate that may change over time.
 func (w *world) load(name string, rate func(now time.Duration) float64) {
 	w.After(time.Duration(w.random.ExpFloat64()/rate(w.Now())*1e9), func() {
-		w.request(w.nodes[w.random.Intn(len(w.nodes))], name)
+		w.request(w.atNode(), name)
 		w.load(name, rate)
 	})
 }
