--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -146,7 +146,7 @@
 	}
 	m.membersChanged = false
 	m.actions = append(m.actions, MembersChanged{
-		Members: m.Alive(), Known: m.members.Len() + 1, KnownZones: m.countZones(), VMsListed: m.vmsListed,
+		Members: m.Alive(), Known: m.members.Len() + 1, KnownZones: m.countZones(), Lost: m.lost(), VMsListed: m.vmsListed,
 	})
 }
 
--- a/internal/peer/rows.go
+++ b/internal/peer/rows.go
@@ -222,6 +222,8 @@
 	// Known counts all nodes, also leaving and dead ones, and KnownZones their zones.
 	Known      int
 	KnownZones int
+	// Lost holds the members that are considered dead.
+	Lost []Update
 	// VMsListed reports whether the platform's VM list has been received. Members then includes nodes that were never contacted.
 	VMsListed bool
 }
--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -21,6 +21,9 @@
 		"{{Listen.Frontend|json}}", `"127.0.0.1:1"`, "{{Listen.Readiness|json}}", `"127.0.0.1:2"`,
 		"{{Listen.Admin|json}}", `"127.0.0.1:3"`, `{{#Seeds}}"{{.}}"{{,}}{{/Seeds}}`, "", "{{Ip}}", "127.0.0.1",
 		"{{platform.Addr|json}}", `"127.0.0.1:4"`, "{{CloudApi.Addr|json}}", `"127.0.0.1:5"`,
+		"{{#Bounds.QuotaWindowS}}", "", "{{Bounds.QuotaWindowS}}", "5", "{{/Bounds.QuotaWindowS}}", "",
+		"{{#Bounds.QuotaOverage}}", "", "{{Bounds.QuotaOverage|json}}", "0.1", "{{/Bounds.QuotaOverage}}", "",
+		"{{#Bounds.QuotaSlack}}", "", "{{Bounds.QuotaSlack|json}}", "20", "{{/Bounds.QuotaSlack}}", "",
 		"{{Limits.CpuQuota|json}}", "0.4", "{{Bounds.GraceS}}", grace).Replace(string(raw)))
 }
 
