Limits: a new home lets operations wait until its bucket has filled once

Cause: a new home begins with a nearly empty bucket, and refused what had waited for it although the tenant was below its limit. Limits of an older configuration that arrived late replaced newer ones. Change: until it has had twice the time that filling its bucket takes, at most 2 s, a new home answers "not ready" in place of a refusal. Older limits are ignored.

--- a/internal/tenant/ledger.go
+++ b/internal/tenant/ledger.go
@@ -185,7 +185,7 @@
 	if n == k.Need {
 		g.Credit += max(0, more)
 	} else {
-		g.Unready = r.leased && now >= b.leasedUntil
+		g.Unready = r.leased && (now >= b.leasedUntil || now < b.fullAt)
 		rate := b.limit.Rate
 		if !r.leased {
 			rate *= r.slow
--- a/internal/tenant/ledger_rows.go
+++ b/internal/tenant/ledger_rows.go
@@ -18,8 +18,9 @@
 	capacity float64
 	tokens   float64
 	at       time.Duration
-	// initial is what the bucket gets with its first lease.
+	// initial is what the bucket gets with its first lease. Until fullAt, it may be empty although the tenant is below its limit.
 	initial float64
+	fullAt  time.Duration
 	// mine is set while the node considers itself the home, usedAt is when it last did.
 	mine   bool
 	usedAt time.Duration
@@ -34,6 +35,10 @@
 	slotAt  time.Duration
 }
 
+// maxFillTime bounds the time during which a new bucket lets operations wait that it would refuse later. Usually, that is twice the
+// time that filling it takes: by then what waited for the new home is admitted.
+const maxFillTime = 2 * time.Second
+
 // refill holds how a bucket is refilled. Without a lease that counts it tends towards the low level: it loses tokens at the rate of
 // the tenant, since another home may gain them at that rate, and gains them at a part of the rate.
 type refill struct {
@@ -107,8 +112,11 @@
 	if quorum > 0 && len(until) >= quorum {
 		slices.Sort(until)
 		b.leasedUntil = until[len(until)-quorum]
-		b.tokens = min(b.capacity, b.tokens+b.initial)
-		b.initial = 0
+		if b.initial > 0 {
+			b.tokens = min(b.capacity, b.tokens+b.initial)
+			b.initial = 0
+			b.fullAt = now + min(maxFillTime, time.Duration(2*b.capacity/b.limit.Rate*float64(time.Second)))
+		}
 	}
 	return b
 }
--- a/internal/tenant/limiter.go
+++ b/internal/tenant/limiter.go
@@ -153,6 +153,9 @@
 	case DrainStarted:
 		l.account.drain()
 	case LimitsChanged:
+		if e.Version < l.ledger.version {
+			return
+		}
 		l.account.changeLimits(now, e)
 		l.ledger.changeLimits(now, e)
 	case MembersChanged:
--- a/internal/tenant/limiter_test.go
+++ b/internal/tenant/limiter_test.go
@@ -167,6 +167,35 @@
 	return 0
 }
 
+// TestHomeLostAtUsualLoad guards against a new home that refuses a tenant at its usual rate because its bucket begins nearly empty:
+// what waits for the new home is admitted.
+func TestHomeLostAtUsualLoad(t *testing.T) {
+	for _, k := range []struct {
+		name    string
+		refuses bool
+		// refused is how many operations may be refused: those that reach their deadline of 2 s while the home is missed.
+		refused int
+	}{
+		{"the home refuses connections", true, 5},
+		{"the home is silent", false, 60},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(t, 6, 67, map[string]tenant.Limit{"t": {Rate: 262, Burst: 262}})
+			w.refuses = k.refuses
+			w.Run(5 * time.Second)
+			w.load("t", steady(164))
+			w.Run(10 * time.Second)
+			c.Assert(w.refused["t"], qt.Equals, 0)
+			w.home("t").kill()
+			w.Run(20 * time.Second)
+			w.assertBounded()
+			c.Logf("%d refused, longest wait %v", w.refused["t"], w.longestWait())
+			c.Check(w.refused["t"] <= k.refused, qt.IsTrue)
+		})
+	}
+}
+
 // TestLoweredLimit guards against a bucket, credit or a home that keeps a higher limit after the configuration has lowered it.
 func TestLoweredLimit(t *testing.T) {
 	high, low := tenant.Limit{Rate: 262, Burst: 262}, tenant.Limit{Rate: 10, Burst: 10}
