Transactions of tenants begin by turns

Cause: held BEGINs were tried as their tenant's turn in the queue came. Tenants with nothing but held ones took up the places among those that a step looks at, and one that began many transactions early kept the others waiting. Change: a queue has a second ring, of the tenants with held BEGINs, which begin by turns.

--- a/internal/caller/admission.go
+++ b/internal/caller/admission.go
@@ -142,7 +142,7 @@
 func (l *Lane) place(q QueueID, r Request) place {
 	f := l.queues[q]
 	row, _ := f.flows.Get(l.policy.Share(r))
-	if r.Statement.Kind == KindBegin && len(row.held) > 0 {
+	if r.Statement.Kind == KindBegin && len(f.held) > 0 {
 		return place{departures: int(q) + heldDepartures, ahead: f.held.ahead(len(row.held))}
 	}
 	return place{departures: int(q), ahead: f.waiting.ahead(len(row.ids)), empty: len(f.waiting) == 0}
--- a/internal/caller/fair.go
+++ b/internal/caller/fair.go
@@ -26,17 +26,17 @@
 	held []RequestID
 	// deficit is the service time that the tenant may still use in this round.
 	deficit time.Duration
-}
-
-func (f flow) empty() bool {
-	return len(f.ids) == 0 && len(f.held) == 0
+	// inRing and inHeldRing are set while the tenant is in the rings of the queue.
+	inRing     bool
+	inHeldRing bool
 }
 
 // fairQueue is a queue that tenants share by deficit round robin. ring holds the tenants that wait, the next one to be served
-// first.
+// first, and heldRing those with held requests.
 type fairQueue struct {
-	flows *table.Table[string, flow]
-	ring  []string
+	flows    *table.Table[string, flow]
+	ring     []string
+	heldRing []string
 	// waiting and held count the entries of the flows. Requests that were refused meanwhile count until a step comes by.
 	waiting entryCounts
 	held    entryCounts
@@ -83,42 +83,47 @@
 	return fairQueue{flows: table.New[string, flow]()}
 }
 
-// put replaces the row of a tenant.
+// put replaces the row of a tenant. The row goes with the tenant's last place in a ring.
 func (f *fairQueue) put(name string, old, row flow) {
-	f.count(old, row)
-	if row.empty() {
-		f.flows.Delete(name)
-	} else {
+	f.waiting = f.waiting.withChange(len(old.ids), len(row.ids))
+	f.held = f.held.withChange(len(old.held), len(row.held))
+	if row.inRing || row.inHeldRing {
 		f.flows.Put(name, row)
+	} else {
+		f.flows.Delete(name)
 	}
 	f.flows.TakeDirty()
 }
 
-// count counts the entries of a changed row.
-func (f *fairQueue) count(old, row flow) {
-	f.waiting = f.waiting.withChange(len(old.ids), len(row.ids))
-	f.held = f.held.withChange(len(old.held), len(row.held))
+// withRing returns the row of a tenant that has a place in the ring. One that had none joins at the end.
+func (l *Lane) withRing(q QueueID, name string, row flow) flow {
+	if !row.inRing {
+		row.inRing = true
+		row.deficit = l.quantum()
+		l.queues[q].ring = append(l.queues[q].ring, name)
+	}
+	return row
 }
 
-// flowToJoin returns the row that a request joins. A tenant that did not wait before joins the ring at its end.
-func (l *Lane) flowToJoin(q QueueID, r Request) (name string, row flow) {
-	f := &l.queues[q]
-	name = l.policy.Share(r)
-	row, ok := f.flows.Get(name)
-	if !ok {
-		f.ring = append(f.ring, name)
-		row.deficit = l.quantum()
+// withHeld returns the row of a tenant with another held request.
+func (l *Lane) withHeld(q QueueID, name string, row flow, id RequestID) flow {
+	row.held = append(row.held, id)
+	if !row.inHeldRing {
+		row.inHeldRing = true
+		l.queues[q].heldRing = append(l.queues[q].heldRing, name)
 	}
-	return name, row
+	return row
 }
 
 // join puts a request at the end of its tenant's requests.
 func (l *Lane) join(q QueueID, r Request) {
-	name, old := l.flowToJoin(q, r)
+	name := l.policy.Share(r)
+	old, _ := l.queues[q].flows.Get(name)
 	row := old
 	if r.Statement.Kind == KindBegin && r.TxConn == 0 && len(row.held) > 0 {
-		row.held = append(row.held, r.ID)
+		row = l.withHeld(q, name, row, r.ID)
 	} else {
+		row = l.withRing(q, name, row)
 		row.ids = append(row.ids, r.ID)
 	}
 	l.queues[q].put(name, old, row)
@@ -126,24 +131,23 @@
 
 // rejoin puts a request at the head of its tenant's requests.
 func (l *Lane) rejoin(q QueueID, r Request) {
-	name, old := l.flowToJoin(q, r)
-	row := old
+	name := l.policy.Share(r)
+	old, _ := l.queues[q].flows.Get(name)
+	row := l.withRing(q, name, old)
 	row.ids = slices.Insert(row.ids, 0, r.ID)
 	l.queues[q].put(name, old, row)
 }
 
-// dropRefused removes requests that were refused from the head of a tenant's requests. The row stays until a step comes by,
-// even if it is empty, since the tenant is still in the ring.
+// dropRefused removes requests that were refused from the head of a tenant's requests. The row stays until a step comes by.
 func (l *Lane) dropRefused(q QueueID, name string) {
 	f := &l.queues[q]
 	old, ok := f.flows.Get(name)
 	if !ok {
 		return
 	}
-	row := flow{ids: l.withoutRefused(old.ids), held: l.withoutRefused(old.held), deficit: old.deficit}
-	f.count(old, row)
-	f.flows.Put(name, row)
-	f.flows.TakeDirty()
+	row := old
+	row.ids, row.held = l.withoutRefused(old.ids), l.withoutRefused(old.held)
+	f.put(name, old, row)
 }
 
 func (l *Lane) withoutRefused(ids []RequestID) []RequestID {
@@ -164,10 +168,39 @@
 	l.replicaWaitUntil = 0
 	waiting := map[connKey]int{}
 	for q := range l.queues {
+		l.dispatchHeld(now, QueueID(q), waiting)
 		l.dispatch(now, QueueID(q), waiting)
 	}
 }
 
+// dispatchHeld starts held requests for which there is room now. Tenants take turns. The first maxTenantScan of those in the ring
+// are looked at, as the requests of one may wait for another server than those of the next.
+func (l *Lane) dispatchHeld(now time.Duration, q QueueID, waiting map[connKey]int) {
+	f := &l.queues[q]
+	for i := 0; i < min(len(f.heldRing), maxTenantScan) && l.mayStart(q); {
+		name := f.heldRing[i]
+		old, _ := f.flows.Get(name)
+		row := old
+		row.held = l.withoutRefused(old.held)
+		if len(row.held) > 0 {
+			r, _ := l.requests.Get(row.held[0])
+			if l.startRequest(now, r, waiting) != startLeft {
+				f.put(name, old, row)
+				i++
+				continue
+			}
+			row.held = row.held[1:]
+			row.deficit -= l.cost(r)
+			l.recordDeparture(now, int(q)+heldDepartures, len(row.held) > 0 || len(f.heldRing) > 1)
+		}
+		f.heldRing = slices.Delete(f.heldRing, i, i+1)
+		if row.inHeldRing = len(row.held) > 0; row.inHeldRing {
+			f.heldRing = append(f.heldRing, name)
+		}
+		f.put(name, old, row)
+	}
+}
+
 // dispatch starts requests of the tenants in the ring. A tenant that has used up its deficit goes to the end of the ring, and
 // one whose requests can't start yet keeps its place.
 func (l *Lane) dispatch(now time.Duration, q QueueID, waiting map[connKey]int) {
@@ -225,7 +258,7 @@
 type flowState uint8
 
 const (
-	// flowEmpty means that nothing of the tenant waits any more.
+	// flowEmpty means that nothing of the tenant waits any more, but for held requests.
 	flowEmpty flowState = iota
 	// flowBlocked means that its next requests can't start yet.
 	flowBlocked
@@ -239,7 +272,6 @@
 	old, _ := f.flows.Get(name)
 	row := old
 	alone := f.flows.Len() == 1
-	row.held = l.startHeldRequests(now, q, row.held, waiting)
 	limit := maxTenantScan
 	if alone {
 		limit = maxQueueScan
@@ -259,7 +291,7 @@
 				row.deficit -= l.cost(r)
 			}
 		case startHeld:
-			row.held = append(row.held, r.ID)
+			row = l.withHeld(q, name, row, r.ID)
 			d, _ := l.departures.Get(int(q) + heldDepartures)
 			l.departures.Put(int(q)+heldDepartures, d.withJoin(now, l.queuedUntil(r)-now))
 		default:
@@ -271,8 +303,9 @@
 	row.ids = row.ids[i-n:]
 	state := flowBlocked
 	switch {
-	case row.empty():
+	case len(row.ids) == 0:
 		state = flowEmpty
+		row.inRing = false
 	case row.deficit <= 0 && !alone:
 		state = flowExhausted
 		row.deficit += l.quantum()
@@ -281,21 +314,6 @@
 	return state
 }
 
-// startHeldRequests starts the first of the requests that wait for room for a transaction, and returns the others.
-func (l *Lane) startHeldRequests(now time.Duration, q QueueID, held []RequestID, waiting map[connKey]int) []RequestID {
-	for len(held) > 0 {
-		r, ok := l.requests.Get(held[0])
-		if ok && l.stillQueued(r) {
-			if l.startRequest(now, r, waiting) != startLeft {
-				break
-			}
-			l.recordDeparture(now, int(q)+heldDepartures, len(held) > 1)
-		}
-		held = held[1:]
-	}
-	return held
-}
-
 // recordDeparture records that a request has left a queue.
 func (l *Lane) recordDeparture(now time.Duration, row int, nonEmpty bool) {
 	d, _ := l.departures.Get(row)
--- a/internal/caller/order_test.go
+++ b/internal/caller/order_test.go
@@ -40,10 +40,10 @@
 		}
 		row := old
 		row.ids = append(skipped, old.ids[i:]...)
-		l.queues[q].put("", old, row)
-		if row.empty() {
-			l.queues[q].ring = nil
+		if len(row.ids) == 0 {
+			row.inRing, l.queues[q].ring = false, nil
 		}
+		l.queues[q].put("", old, row)
 	}
 }
 
--- a/internal/caller/rest_test.go
+++ b/internal/caller/rest_test.go
@@ -53,3 +53,28 @@
 		}
 	}
 }
+
+// TestTransactionsTakeTurns guards against a tenant whose transactions wait behind all those that another one began earlier.
+func TestTransactionsTakeTurns(t *testing.T) {
+	c := qt.New(t)
+	quickest := caller.Quickest(func(string) int { return 0 })
+	today := quickest
+	today.Name, today.Share = "today's order", func(caller.Request) string { return "" }
+	begun := map[string]int{}
+	for _, p := range []caller.Policy{quickest, today} {
+		f := newLoadLane(c, p, loadSpec{serverSlots: 4, slots: 3, conns: 22})
+		k := loadCaller{
+			tenant: "many", class: restingClass, rest: time.Second,
+			kinds: []caller.Kind{caller.KindBegin, caller.KindWrite, caller.KindCommit},
+		}
+		f.offer(1, k, 120, 2*time.Second, 3*time.Second)
+		k.tenant = "few"
+		f.offer(2, k, 20, 3*time.Second, 4*time.Second)
+		f.Run(25 * time.Second)
+		few, many := f.tenants["few"], f.tenants["many"]
+		begun[p.Name] = few.inTime
+		c.Logf("%s: %d of %d of few, %d of %d of many", p.Name, few.inTime, few.offered, many.inTime, many.offered)
+	}
+	c.Check(begun[quickest.Name] >= 20, qt.IsTrue)
+	c.Check(begun[today.Name] >= 20, qt.IsFalse)
+}
--- a/internal/caller/tenantlane_test.go
+++ b/internal/caller/tenantlane_test.go
@@ -32,7 +32,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &tenantLane{lane: l, now: time.Second, seqs: map[SessionID]uint64{}, closed: map[SessionID]SessionID{}, tenants: SessionID(rapid.SampledFrom([]int{3, 40}).Draw(t, "tenants"))}
+	w := &tenantLane{
+		lane: l, now: time.Second, seqs: map[SessionID]uint64{}, closed: map[SessionID]SessionID{},
+		tenants: SessionID(rapid.SampledFrom([]int{3, 40}).Draw(t, "tenants")),
+	}
 	v := upstream.GroupView{Name: "g", Term: 1, Primary: "p", EvidenceTTL: 250 * time.Millisecond}
 	for _, n := range []string{"p", "r0", "r1"} {
 		v.Servers = append(v.Servers, upstream.ServerView{Name: n, Alive: true, Term: 1})
@@ -61,6 +64,18 @@
 	w.assertConns(t)
 }
 
+// places returns how often a tenant must be in a ring, or -1 if it has entries and is said not to be there.
+func places(inRing bool, entries int) int {
+	switch {
+	case inRing:
+		return 1
+	case entries > 0:
+		return -1
+	default:
+		return 0
+	}
+}
+
 func (w *tenantLane) tenant(id SessionID) string {
 	return fmt.Sprint("t", id%w.tenants)
 }
@@ -68,24 +83,14 @@
 // assertQueues checks that each tenant that waits is in the ring once, and that each request that waits is in one list.
 func (w *tenantLane) assertQueues(t *rapid.T) {
 	found := map[RequestID]int{}
-	for q, f := range w.lane.queues {
-		rings, ids, held := map[string]int{}, 0, 0
-		for _, name := range f.ring {
-			rings[name]++
-		}
+	for q := range w.lane.queues {
+		w.assertRings(t, q)
+		f := w.lane.queues[q]
 		for _, name := range f.flows.Keys() {
 			row, _ := f.flows.Get(name)
-			ids, held = ids+len(row.ids), held+len(row.held)
 			for _, id := range append(row.ids[:len(row.ids):len(row.ids)], row.held...) {
 				found[id]++
 			}
-			if rings[name] != 1 {
-				t.Fatalf("queue %d: %s is in the ring %d times", q, name, rings[name])
-			}
-		}
-		if len(rings) != f.flows.Len() || f.waiting.total() != ids || f.held.total() != held {
-			t.Fatalf("queue %d: %d in the ring, %d rows, %d of %d waiting, %d of %d held", q, len(rings), f.flows.Len(),
-				f.waiting.total(), ids, f.held.total(), held)
 		}
 	}
 	for _, id := range w.lane.requests.Keys() {
@@ -95,6 +100,29 @@
 	}
 }
 
+// assertRings checks the rings and the counts of a queue.
+func (w *tenantLane) assertRings(t *rapid.T, q int) {
+	f := w.lane.queues[q]
+	rings, heldRings, ids, held := map[string]int{}, map[string]int{}, 0, 0
+	for _, name := range f.ring {
+		rings[name]++
+	}
+	for _, name := range f.heldRing {
+		heldRings[name]++
+	}
+	for _, name := range f.flows.Keys() {
+		row, _ := f.flows.Get(name)
+		ids, held = ids+len(row.ids), held+len(row.held)
+		if rings[name] != places(row.inRing, len(row.ids)) || heldRings[name] != places(row.inHeldRing, len(row.held)) {
+			t.Fatalf("queue %d: %s is in the rings %d and %d times, and has %+v", q, name, rings[name], heldRings[name], row)
+		}
+	}
+	if len(rings)+len(heldRings) < f.flows.Len() || f.waiting.total() != ids || f.held.total() != held {
+		t.Fatalf("queue %d: %d in the rings, %d rows, %d of %d waiting, %d of %d held", q, len(rings)+len(heldRings), f.flows.Len(),
+			f.waiting.total(), ids, f.held.total(), held)
+	}
+}
+
 // assertConns checks the counts of the connections, and that open transactions hold at most half of them.
 func (w *tenantLane) assertConns(t *rapid.T) {
 	uses, transactions := map[connKey]connUse{}, map[string]int{}
--- a/internal/caller/tenantstats.go
+++ b/internal/caller/tenantstats.go
@@ -29,8 +29,8 @@
 	Waited time.Duration `json:"waited_ns"`
 }
 
-// tenantCounters holds the counters of the tenants with the most requests, and of all others together. The counters of a tenant that
-// is no longer among them are dropped; its further requests are counted with the others.
+// tenantCounters holds the counters of the tenants with the most requests, and of all others together. The counters of a tenant
+// that is no longer among them are dropped; its further requests are counted with the others.
 type tenantCounters struct {
 	requests map[string]uint64
 	named    map[string]TenantStats
