Tenants' connections above a smaller share are closed at once

Cause: when a group moves from one node of each region to one of each zone, a region's node would keep up to 34 tenants' connections for 30 s, of a share that has fallen to 10. Change: a lane closes the least used idle connections of tenants above its share as soon as the share falls.

--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -322,13 +322,15 @@
 
 // updateLimits sets this node's share of connections to a server, and its share of slots unless slots are leased.
 func (l *Lane) updateLimits(now time.Duration, e LimitsUpdated) {
-	l.retire(now, e)
 	s, _ := l.servers.Get(e.Server)
+	s = s.WithRetired(e.Retired)
 	if l.leaseSlots {
-		l.servers.Put(e.Server, s.WithLimits(s.Slots, s.LongSlots, e.Conns))
-		return
+		s = s.WithLimits(s.Slots, s.LongSlots, e.Conns)
+	} else {
+		s = s.WithLimits(e.Slots, l.policy.LongLimit(e.Slots), e.Conns)
 	}
-	l.servers.Put(e.Server, s.WithLimits(e.Slots, l.policy.LongLimit(e.Slots), e.Conns))
+	l.servers.Put(e.Server, s)
+	l.releaseConns(now, e.Server)
 }
 
 // updateView adopts a newer snapshot of the group. If the primary was replaced, it closes the connections to the old one.
--- a/internal/caller/tenantconns.go
+++ b/internal/caller/tenantconns.go
@@ -116,13 +116,21 @@
 	}
 }
 
-// evictConn closes an idle connection to a server in favor of a tenant, and reports whether there was one. It is the connection of
-// another tenant with the least expected use until it is open again; of those, the one that has been idle for the longest time.
+// evictConn closes an idle connection to a server in favor of a tenant, and reports whether there was one. It is one of another
+// tenant that has been kept for long enough.
 func (l *Lane) evictConn(now time.Duration, row Server, tenant string) bool {
+	return l.closeLeastUsed(now, row, func(c Conn) bool {
+		return c.Tenant != tenant && (c.Tenant == "" || now >= c.OpenedAt+minTenure*openTime(row))
+	})
+}
+
+// closeLeastUsed closes the idle connection to a server with the least expected use until it is open again, among those that may be
+// closed; of several, the one that has been idle for the longest time. It reports whether there was one.
+func (l *Lane) closeLeastUsed(now time.Duration, row Server, mayClose func(c Conn) bool) bool {
 	victim, least := ConnID(0), math.Inf(1)
 	for _, id := range row.IdleConns {
 		c, _ := l.conns.Get(id)
-		if c.Tenant == tenant || c.Tenant != "" && now < c.OpenedAt+minTenure*openTime(row) {
+		if !mayClose(c) {
 			continue
 		}
 		if uses := l.connUses[c.key()].expectedUses(now, openTime(row)); uses < least {
@@ -155,16 +163,19 @@
 	return row.WithTransactions(1), c.WithTransaction(true)
 }
 
-// retire records whether the node still serves the group. If it no longer does, the tenants' connections to the server end
-// soon: the nodes that do need their places.
-func (l *Lane) retire(now time.Duration, e LimitsUpdated) {
-	s, _ := l.servers.Get(e.Server)
-	l.servers.Put(e.Server, s.WithRetired(e.Retired))
-	if !e.Retired {
-		return
+// releaseConns closes tenants' idle connections to a server whose places other nodes need: those above this node's share and,
+// soon, all if this node no longer serves the group.
+func (l *Lane) releaseConns(now time.Duration, server string) {
+	ofTenant := func(c Conn) bool { return c.Tenant != "" }
+	for {
+		row, _ := l.servers.Get(server)
+		if row.OpenConns+row.OpeningConns <= row.ConnLimit || !l.closeLeastUsed(now, row, ofTenant) {
+			break
+		}
 	}
-	for _, id := range s.IdleConns {
-		if c, _ := l.conns.Get(id); c.Tenant != "" {
+	row, _ := l.servers.Get(server)
+	for _, id := range row.IdleConns {
+		if c, _ := l.conns.Get(id); row.Retired && ofTenant(c) {
 			l.conns.SetDue(id, now+l.policy.IdleTimeout)
 		}
 	}
--- a/internal/caller/tenantconns_test.go
+++ b/internal/caller/tenantconns_test.go
@@ -77,6 +77,14 @@
 		l.step(caller.LimitsUpdated{Server: "p", Slots: 4, Conns: 4, Retired: true})
 		l.c.Assert(has[caller.Close](l.wait(time.Second)), qt.IsTrue)
 	})
+	t.Run("those above a smaller share are closed at once", func(t *testing.T) {
+		l := newAppointedLane(qt.New(t))
+		for i, tenant := range []string{"a", "b", "c", "d"} {
+			l.serve(caller.SessionID(10+i), withTenant(write, tenant))
+		}
+		as := l.step(caller.LimitsUpdated{Server: "p", Slots: 4, Conns: 1})
+		l.c.Assert(all[caller.Close](as), qt.HasLen, 3)
+	})
 	t.Run("a server without room is asked again after 50 to 100 ms and not suspected", func(t *testing.T) {
 		l := newAppointedLane(qt.New(t))
 		l.step(caller.SessionOpened{Session: 1, HasFloor: true})
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -152,11 +152,15 @@
 }
 
 func connect(c *qt.C, n *Node, database string) *session {
+	return connectWithKey(c, n, database, "user")
+}
+
+func connectWithKey(c *qt.C, n *Node, database, key string) *session {
 	conn, err := net.Dial("tcp", n.settings.Listen)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = conn.Close() })
 	s := &session{c: c, conn: conn, r: bufio.NewReader(conn)}
-	_, err = fmt.Fprintf(conn, "STARTUP %s user\r\n", database)
+	_, err = fmt.Fprintf(conn, "STARTUP %s %s\r\n", database, key)
 	c.Assert(err, qt.IsNil)
 	s.greeting = s.line()
 	return s
