Control cost by purpose, and answers over the connection of the other node

Nothing said what a node spends for control and what it grows with. Messages, bytes and opened connections are counted by purpose on /metrics, with the lists of members worked through and the changes of members' states; docs/design/control-cost.md holds the account, and TestMeasureControlCost prints it.

A ping and its ack used two connections. A node now answers over the stream on which the other node's messages arrive, if it has no connection of its own (TestReplyOverSameConnection). A message is still sent at most once.

--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -12,6 +12,7 @@
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/control"
 	"buckthornport.example/buckthornport/internal/dispatcher"
+	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/peerlink"
@@ -33,7 +34,12 @@
 		peerlink.WithTableHandler(func(from string, t listing.TableMessage) {
 			n.thread.Post(listing.MessageReceived{From: from, Message: t})
 		}),
-		peerlink.WithByteCounter(func(zone string, bytes int) { n.peerBytes.AddSent(n.settings.Distance(zone), bytes) }))
+		peerlink.WithConnectionCounter(n.purposes.AddConnection),
+		peerlink.WithByteCounter(func(p metrics.Purpose, zone string, bytes int) {
+			d := n.settings.Distance(zone)
+			n.peerBytes.AddSent(d, bytes)
+			n.purposes.AddMessage(p, d, bytes)
+		}))
 	return err
 }
 
@@ -265,6 +271,7 @@
 		n.thread.Post(upstream.CommitsAcknowledged{Group: group, Position: a.Position})
 	}
 	l.Dial = func(ctx context.Context, a caller.Open, post func(caller.Event)) (traffic.UpstreamConn, error) {
+		n.purposes.AddConnection(metrics.Statements)
 		u, err := n.controlClient.DialUpstream(ctx, n.listener, group, a, post)
 		if err != nil {
 			n.auditDependency(a.Server, "connection_refused", err)
--- a/internal/fleet/events_test.go
+++ b/internal/fleet/events_test.go
@@ -87,6 +87,9 @@
 			`answer_seconds_count{node="node-1",group="books",class="fresh"} 1`,
 			`requests_total{node="node-1",group="books",outcome="refused"} 0`,
 			`store_bytes_received_total{node="node-1"} [1-9]\d*`,
+			`connections_opened_total{node="node-1",purpose="control"} [1-9]\d*`,
+			`connections_opened_total{node="node-1",purpose="statements"} [1-9]\d*`,
+			`peer_messages_sent_total{node="node-1",purpose="gossip"} 0`,
 			`ready{node="node-1"} 1`)
 	})
 	t.Run("change of primary", func(t *testing.T) {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -59,6 +59,10 @@
 	panics                 atomic.Int64
 	serverBytes, peerBytes metrics.ByteCounter
 	failovers              *operator.FailoverMetrics
+	// purposes counts messages and connections by purpose, memberLists the member lists that were applied, and memberChanges the
+	// changes of a member's state.
+	purposes                   metrics.PurposeCounter
+	memberLists, memberChanges atomic.Int64
 
 	mu      sync.Mutex
 	lanes   map[string]*traffic.Lane
@@ -161,6 +165,7 @@
 	n.controlClient.WrapConn = func(server string, conn net.Conn) net.Conn {
 		return n.serverBytes.WrapConn(conn, s.Distance(n.zoneOf(server)))
 	}
+	n.controlClient.Connecting = func() { n.purposes.AddConnection(metrics.Control) }
 	n.orders = platform.NewOrderClient(s.Orders, s.Node, n.leaseValid)
 	n.listener = platform.NewListener(n.routeFor)
 	n.listener.Panicked = n.logPanic
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -86,6 +86,7 @@
 
 // updateMembers records the live members and recomputes the shares of servers.
 func (n *Node) updateMembers(a peer.MembersChanged) {
+	n.memberLists.Add(1)
 	n.mu.Lock()
 	n.members = a.Members
 	clear(n.suspects)
@@ -104,6 +105,7 @@
 // updateMember records whether a member answers. Where all dispatchers of a group have become suspect, or one is trusted again, the
 // group is assigned anew. A member that has just been declared dead stays a suspect until updateMembers gets a list without it.
 func (n *Node) updateMember(a peer.MemberChanged) {
+	n.memberChanges.Add(1)
 	b := n.routes.Load().bundle
 	n.mu.Lock()
 	if a.State == peer.StateSuspect || a.State == peer.StateDead {
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -113,6 +113,8 @@
 	t.Line("connections_accepted_total", s.ConnectionsAccepted)
 	t.Line("connections_rejected_total", s.ConnectionsRejected)
 	t.Line("members", len(s.Members))
+	t.Line("member_lists_total", n.memberLists.Load())
+	t.Line("member_changes_total", n.memberChanges.Load())
 	t.Line("peer_messages_dropped_total", s.PeerMessagesDropped)
 	t.Line("store_calls_total", s.StoreCalls)
 	t.Line("store_calls_failed_total", s.StoreCallsFailed)
@@ -122,6 +124,7 @@
 	t.Line("log_lines_dropped_total", s.LogLinesDropped)
 	t.Bytes("server", &n.serverBytes)
 	t.BytesSent("node", &n.peerBytes)
+	t.Purposes(&n.purposes)
 	n.failovers.Write(t)
 	writeRelayMetrics(t, s)
 	for _, l := range s.Lanes {
--- a/internal/peerlink/jobs.go
+++ b/internal/peerlink/jobs.go
@@ -11,6 +11,7 @@
 
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/dispatcher"
+	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/internal/traffic"
 )
 
@@ -47,11 +48,11 @@
 // DialDispatcher opens a job stream from the node named self to the dispatcher at the given address and zone. The messages of the
 // dispatcher go to the handler.
 func (l *Link) DialDispatcher(ctx context.Context, self, address, zone string, handler traffic.LinkHandler) (traffic.Link, error) {
-	stream, closeAll, err := l.dial(ctx, address)
+	stream, closeAll, err := l.dial(ctx, address, metrics.Jobs)
 	if err != nil {
 		return traffic.Link{}, err
 	}
-	s := newJobStream(stream, bufio.NewReader(stream), func(n int) { l.countBytes(zone, n) })
+	s := newJobStream(stream, bufio.NewReader(stream), func(n int) { l.countBytes(metrics.Jobs, zone, n) })
 	if _, err := protodelim.MarshalTo(stream, &Message{Kind: kindJobs, From: self}); err != nil {
 		closeAll()
 		return traffic.Link{}, err
@@ -81,7 +82,7 @@
 
 // serveJobs handles a job stream from another node until the stream ends.
 func (l *Link) serveJobs(stream net.Conn, r *bufio.Reader) {
-	s := newJobStream(stream, r, func(n int) { l.countBytes("", n) })
+	s := newJobStream(stream, r, func(n int) { l.countBytes(metrics.Jobs, "", n) })
 	handlers := l.handleJobs(ReplySender{
 		Outcome:  func(o dispatcher.Outcome) bool { return s.send(&Relayed{Outcome: encodeOutcome(o)}) },
 		Draining: func() bool { return s.send(&Relayed{Leaving: true}) },
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/platform"
 	"buckthornport.example/buckthornport/internal/traffic"
@@ -26,8 +27,8 @@
 	writeTimeout    = 2 * time.Second
 	maxMessageBytes = 8 << 20
 	peerQueueLength = 64
-	// connIdleTimeout is how long a connection without messages is kept open. A node pings every member from time to time, so with a
-	// longer timeout the number of open connections would grow with the fleet.
+	// connIdleTimeout is how long a connection without messages is kept open. A node pings every member from time to time, so
+	// with a longer timeout the number of open connections would grow with the fleet.
 	connIdleTimeout = 3 * time.Second
 )
 
@@ -36,12 +37,16 @@
 	receive         func(m peer.Message)
 	receiveTable    func(from string, t platform.TableMessage)
 	tls             func() *tls.Config
-	countBytes      func(zone string, bytes int)
+	countBytes      func(p metrics.Purpose, zone string, bytes int)
+	countConnection func(p metrics.Purpose)
 	handleJobs      func(a ReplySender) JobHandlers
 	panicked        func(err error)
 	mu              sync.Mutex
 	conns           map[string]*peerConn
 	inbound         map[net.Conn]bool
+	// replies holds the streams on which nodes send messages to this one, by node. Messages to a node go over its stream, unless
+	// there is a connection in the other direction.
+	replies         map[string]net.Conn
 	closed          bool
 	bytesSent       atomic.Int64
 	messagesDropped atomic.Int64
@@ -59,14 +64,23 @@
 	}
 }
 
-// WithByteCounter calls f with the size of each sent message and the zone of its receiver, "" if the zone is unknown.
-func WithByteCounter(f func(zone string, bytes int)) Option {
+// WithByteCounter calls f with the purpose and the size of each sent message and the zone of its receiver, "" if the zone is
+// unknown.
+func WithByteCounter(f func(p metrics.Purpose, zone string, bytes int)) Option {
 	return func(l *Link) error {
 		l.countBytes = f
 		return nil
 	}
 }
 
+// WithConnectionCounter calls f with the purpose of each connection that the link opens.
+func WithConnectionCounter(f func(p metrics.Purpose)) Option {
+	return func(l *Link) error {
+		l.countConnection = f
+		return nil
+	}
+}
+
 // WithPanicHandler passes a panic that cost the connection of another node to f.
 func WithPanicHandler(f func(err error)) Option {
 	return func(l *Link) error {
@@ -79,8 +93,9 @@
 func New(receive func(m peer.Message), opts ...Option) (*Link, error) {
 	l := &Link{
 		receive: receive, receiveTable: func(string, platform.TableMessage) {},
-		conns: map[string]*peerConn{}, inbound: map[net.Conn]bool{},
-		tls: func() *tls.Config { return nil }, countBytes: func(string, int) {}, panicked: func(error) {},
+		conns: map[string]*peerConn{}, inbound: map[net.Conn]bool{}, replies: map[string]net.Conn{},
+		tls: func() *tls.Config { return nil }, panicked: func(error) {},
+		countBytes: func(metrics.Purpose, string, int) {}, countConnection: func(metrics.Purpose) {},
 	}
 	for _, o := range opts {
 		if err := o(l); err != nil {
@@ -131,7 +146,7 @@
 			return
 		}
 		go func() {
-			if err := traffic.Contain(func() { l.readMessages(stream) }); err != nil {
+			if err := traffic.Contain(func() { l.serveStream(stream) }); err != nil {
 				l.panicked(err)
 			}
 		}()
@@ -151,18 +166,30 @@
 	delete(l.inbound, conn)
 }
 
-// readMessages receives messages until the stream ends or a message cannot be decoded. A message of kindJobs turns the stream into
-// a job stream.
-func (l *Link) readMessages(stream net.Conn) {
+// serveStream receives the messages of a stream that another node has opened. A message of kindJobs turns it into a job stream.
+func (l *Link) serveStream(stream net.Conn) {
 	defer func() { _ = stream.Close() }()
 	r := bufio.NewReader(stream)
-	for {
-		var p Message
-		if err := readMessage(r, &p); err != nil {
-			return
-		}
+	sender := ""
+	defer func() { l.removeReplyStream(sender, stream) }()
+	l.readMessages(r, func(p *Message) bool {
 		if p.Kind == kindJobs && l.handleJobs != nil {
 			l.serveJobs(stream, r)
+			return false
+		}
+		if sender == "" && p.From != "" {
+			sender = p.From
+			l.addReplyStream(sender, stream)
+		}
+		return true
+	})
+}
+
+// readMessages receives messages until the stream ends, a message cannot be decoded, or accept returns false.
+func (l *Link) readMessages(r protodelim.Reader, accept func(p *Message) bool) {
+	for {
+		var p Message
+		if err := readMessage(r, &p); err != nil || !accept(&p) {
 			return
 		}
 		if p.Table == nil {
@@ -184,21 +211,24 @@
 
 // Send queues a message. It never blocks, and drops the message if the queue is full.
 func (l *Link) Send(a peer.Send) {
-	l.enqueue(a.Address, outgoing{zone: a.Zone, encode: func() (*Message, error) { return encode(a.Message), nil }})
+	l.enqueue(a.To, a.Address, outgoing{
+		purpose: metrics.Gossip, zone: a.Zone, encode: func() (*Message, error) { return encode(a.Message), nil },
+	})
 }
 
 // outgoing is a queued message to a node in a zone. It is encoded when it is sent.
 type outgoing struct {
-	zone   string
-	encode func() (*Message, error)
+	purpose metrics.Purpose
+	zone    string
+	encode  func() (*Message, error)
 }
 
-func (l *Link) enqueue(address string, m outgoing) {
+func (l *Link) enqueue(node, address string, m outgoing) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n, ok := l.conns[address]
 	if !ok && !l.closed {
-		n = newPeerConn(l, address)
+		n = newPeerConn(l, node, address)
 		l.conns[address] = n
 	}
 	if n == nil {
@@ -224,94 +254,11 @@
 	}
 }
 
-// peerConn is the outgoing connection to one peer, opened for the first message in the queue.
-type peerConn struct {
-	link    *Link
-	address string
-	queue   chan outgoing
-	ctx     context.Context
-	stop    context.CancelFunc
-}
-
-func newPeerConn(l *Link, address string) *peerConn {
-	n := &peerConn{link: l, address: address, queue: make(chan outgoing, peerQueueLength)}
-	n.ctx, n.stop = context.WithCancel(context.Background())
-	go n.run()
-	return n
-}
-
-// removeIfIdle removes the connection from the link unless a message is queued, and reports whether it did.
-func (n *peerConn) removeIfIdle() bool {
-	n.link.mu.Lock()
-	defer n.link.mu.Unlock()
-	if len(n.queue) > 0 {
-		return false
-	}
-	delete(n.link.conns, n.address)
-	return true
-}
-
-// run sends queued messages until none is queued for connIdleTimeout. After a failure, the next message opens a new connection.
-func (n *peerConn) run() {
-	var stream net.Conn
-	var closeAll func()
-	defer func() {
-		if closeAll != nil {
-			closeAll()
-		}
-	}()
-	idle := time.NewTimer(connIdleTimeout)
-	defer idle.Stop()
-	for {
-		select {
-		case <-n.ctx.Done():
-			return
-		case <-idle.C:
-			if n.removeIfIdle() {
-				n.stop()
-				return
-			}
-		case m := <-n.queue:
-			idle.Reset(connIdleTimeout)
-			var err error
-			if stream == nil {
-				if stream, closeAll, err = n.dial(); err != nil {
-					stream = nil
-					n.link.messagesDropped.Add(1)
-					continue
-				}
-			}
-			if err := n.write(stream, m); err != nil {
-				closeAll()
-				stream, closeAll = nil, nil
-				n.link.messagesDropped.Add(1)
-			}
-		}
-	}
-}
-
-func (n *peerConn) write(stream net.Conn, m outgoing) error {
-	p, err := m.encode()
-	if err != nil {
-		return err
-	}
-	if err := stream.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
-	k, err := protodelim.MarshalTo(stream, p)
-	n.link.bytesSent.Add(int64(k))
-	n.link.countBytes(m.zone, k)
-	return err
-}
-
-func (n *peerConn) dial() (net.Conn, func(), error) {
-	ctx, stop := context.WithTimeout(n.ctx, dialTimeout)
-	defer stop()
-	return n.link.dial(ctx, n.address)
-}
-
-// dial opens a connection to a peer and one stream in it. The returned function closes both.
-func (l *Link) dial(ctx context.Context, address string) (net.Conn, func(), error) {
+// dial opens a connection to a peer and one stream in it. The returned function closes both. It closes the connection and not the
+// session, which ends by itself then: a reader of a stream spins from the start of Session.Close until the session's own
+// goroutine has ended.
+func (l *Link) dial(ctx context.Context, address string, p metrics.Purpose) (net.Conn, func(), error) {
+	l.countConnection(p)
 	conn, err := traffic.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, nil, err
@@ -329,7 +276,7 @@
 		_ = s.Close()
 		return nil, nil, err
 	}
-	return stream, func() { _ = s.Close() }, nil
+	return stream, func() { _ = conn.Close() }, nil
 }
 
 // yamuxConfig returns a configuration without logs and keepalives, since the pings of the membership detect failed peers.
--- a/internal/peerlink/tables.go
+++ b/internal/peerlink/tables.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/internal/platform"
 )
 
@@ -34,7 +35,9 @@
 
 // SendTable queues a message from the node named self about a table. It never blocks, and drops the message if the queue is full.
 func (l *Link) SendTable(self, address, zone string, t platform.TableMessage) {
-	l.enqueue(address, outgoing{zone: zone, encode: func() (*Message, error) { return encodeTable(self, t) }})
+	l.enqueue(address, address, outgoing{
+		purpose: metrics.Tables, zone: zone, encode: func() (*Message, error) { return encodeTable(self, t) },
+	})
 }
 
 func encodeTable(self string, t platform.TableMessage) (*Message, error) {
--- a/internal/proxy/assemble.go
+++ b/internal/proxy/assemble.go
@@ -12,6 +12,7 @@
 
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/control"
+	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/peerlink"
@@ -27,7 +28,7 @@
 	var err error
 	n.link, err = peerlink.New(func(m peer.Message) { n.thread.Post(peer.MessageReceived{Message: m}) },
 		peerlink.WithTLS(n.peerTLS), peerlink.WithPanicHandler(n.logPanic),
-		peerlink.WithByteCounter(func(zone string, bytes int) { n.peerBytes.AddSent(n.distance(zone), bytes) }))
+		peerlink.WithByteCounter(func(_ metrics.Purpose, zone string, bytes int) { n.peerBytes.AddSent(n.distance(zone), bytes) }))
 	return err
 }
 
