Large fleets ping neighbors, and busy ones do not suspect each other

At 200 nodes that start at once, the state of 100 members changed at each node each second (757 changes in 13 s), because acks were late; each suspicion is told by all nodes, refuted and logged, which makes acks later. Each new member also made a list that was worked through at once, and each ping went to another node of either region.

In fleets of more than 16 live members, three of four pings go to the successors in the region, timeouts follow the smoothed round trip, a late node does not judge others, lists of members are at most a second apart, and members that have joined are told less often. Smaller fleets decide as before.

--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -49,7 +49,9 @@
 		return err
 	}
 	incarnation := uint64(n.start.UnixNano())
-	opts := []peer.Option{peer.WithRandom(tick.RandomIntN), peer.WithWeight(n.settings.CPUWeight())}
+	opts := []peer.Option{
+		peer.WithRandom(tick.RandomIntN), peer.WithWeight(n.settings.CPUWeight()), peer.WithRegion(n.settings.Zones.Region),
+	}
 	for _, a := range n.settings.Seeds {
 		if a != n.settings.Peer {
 			opts = append(opts, peer.WithMember(a, "", a))
--- a/internal/peer/fleet_test.go
+++ b/internal/peer/fleet_test.go
@@ -35,6 +35,9 @@
 	steps       int
 	messages    int
 	bytes       int
+	// delay is added to the time that each message takes, and sent is called for each message.
+	delay time.Duration
+	sent  func(from *node, a peer.Send)
 	// acceptOlder disables the version check, so that nodes accept older bundles.
 	acceptOlder bool
 	// reverted counts bundles that replaced a newer one.
@@ -44,6 +47,7 @@
 type node struct {
 	f       *fleet
 	name    string
+	zone    string
 	id      int
 	members *peer.Membership
 	alive   bool
@@ -60,11 +64,17 @@
 }
 
 func newFleet(seed int64, n int) *fleet {
+	return newZonedFleet(seed, n, func(int) string { return "z" })
+}
+
+// newZonedFleet returns a fleet whose nodes are in the given zones. The first letter of a zone is its region.
+func newZonedFleet(seed int64, n int, zone func(i int) string) *fleet {
 	f := &fleet{
 		VirtualClock: &tick.VirtualClock{}, random: rand.New(rand.NewSource(seed)), partitioned: func(*node, *node) bool { return false },
+		sent: func(*node, peer.Send) {},
 	}
 	for i := range n {
-		f.nodes = append(f.nodes, &node{f: f, name: fmt.Sprintf("n%03d", i), id: i})
+		f.nodes = append(f.nodes, &node{f: f, name: fmt.Sprintf("n%03d", i), zone: zone(i), id: i})
 	}
 	for _, x := range f.nodes {
 		x.start()
@@ -79,15 +89,17 @@
 	x.version = 0
 	x.routes = map[string]uint64{}
 	x.floors = map[string]session.Position{}
-	opts := []peer.Option{peer.WithRandom(x.f.random.Intn)}
+	opts := []peer.Option{
+		peer.WithRandom(x.f.random.Intn), peer.WithRegion(func(zone string) string { return zone[:min(1, len(zone))] }),
+	}
 	for k := range 3 {
 		o := x.f.nodes[(x.id+1+k*k)%len(x.f.nodes)]
 		if o != x {
-			opts = append(opts, peer.WithMember(o.name, "z", o.name))
+			opts = append(opts, peer.WithMember(o.name, o.zone, o.name))
 		}
 	}
 	var err error
-	if x.members, err = peer.NewMembership(x.name, "z", x.name, x.incarnation*1000, opts...); err != nil {
+	if x.members, err = peer.NewMembership(x.name, x.zone, x.name, x.incarnation*1000, opts...); err != nil {
 		panic(err)
 	}
 	x.f.After(time.Duration(x.f.random.Intn(500))*ms, func() { x.step() })
@@ -115,10 +127,11 @@
 	switch a := a.(type) {
 	case peer.Send:
 		x.f.messages++
+		x.f.sent(x, a)
 		x.f.bytes += 40 + 30*len(a.Message.Updates) + 30*len(a.Message.Routes) + len(a.Message.Bundle)
 		for _, o := range x.f.nodes {
 			if o.name == a.To && !x.f.partitioned(x, o) && x.f.random.Float64() >= x.f.loss {
-				x.f.After(time.Duration(1+x.f.random.Intn(9))*ms, func() { o.step(peer.MessageReceived{Message: a.Message}) })
+				x.f.After(x.f.delay+time.Duration(1+x.f.random.Intn(9))*ms, func() { o.step(peer.MessageReceived{Message: a.Message}) })
 			}
 		}
 	case peer.OfferBundle:
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -9,11 +9,57 @@
 // queueBroadcast queues an update or a route, in place of an older one about the same member or group. It is sent a number of
 // times that grows with the logarithm of the fleet size.
 func (m *Membership) queueBroadcast(r broadcast) {
-	r.remaining = retransmitFactor * (1 + bits.Len(uint(len(m.pingOrder))))
+	r.remaining = m.retransmissions(r)
 	m.broadcasts = slices.DeleteFunc(m.broadcasts, func(o broadcast) bool {
 		return o.update.Name == r.update.Name && o.route.Group == r.route.Group
 	})
-	m.broadcasts = append(m.broadcasts, r)
+	i, _ := slices.BinarySearchFunc(m.broadcasts, r.remaining, compareRemaining)
+	m.broadcasts = slices.Insert(m.broadcasts, i, r)
+}
+
+// retransmissions returns the number of messages in which a broadcast is sent. In a large fleet, a member that has joined is told
+// less often: many may join at once, nodes also read of them in the list, and digests find what is missing.
+func (m *Membership) retransmissions(r broadcast) int {
+	n := 1 + bits.Len(uint(len(m.pingOrder)))
+	if m.large && r.update.Name != "" && r.update.Name != m.self.Name && r.update.State == StateAlive {
+		return n
+	}
+	return retransmitFactor * n
+}
+
+// compareRemaining orders broadcasts by descending numbers of messages that remain. It never returns zero, so that a search finds
+// the place after those with the same number.
+func compareRemaining(r broadcast, remaining int) int {
+	if r.remaining >= remaining {
+		return -1
+	}
+	return 1
+}
+
+// dropListed removes the broadcasts of live members that are in the list, which the other nodes read as well.
+func (m *Membership) dropListed(us []Update) {
+	listed := make(map[string]bool, len(us))
+	for _, u := range us {
+		listed[u.Name] = true
+	}
+	m.broadcasts = slices.DeleteFunc(m.broadcasts, func(r broadcast) bool {
+		return listed[r.update.Name] && r.update.State == StateAlive
+	})
+}
+
+// takeBroadcasts returns the broadcasts that have been sent least often, and counts them as sent. The queue stays sorted without
+// sorting it for each message: a fleet that starts queues a broadcast for each of its members.
+func (m *Membership) takeBroadcasts() []broadcast {
+	sent := slices.Clone(m.broadcasts[:min(len(m.broadcasts), maxBroadcastsPerMessage)])
+	rest := slices.Delete(m.broadcasts, 0, len(sent))
+	for _, r := range sent {
+		if r.remaining--; r.remaining > 0 {
+			i, _ := slices.BinarySearchFunc(rest, r.remaining, compareRemaining)
+			rest = slices.Insert(rest, i, r)
+		}
+	}
+	m.broadcasts = rest
+	return sent
 }
 
 // message returns a message with the broadcasts that have been sent least often.
@@ -22,19 +68,13 @@
 		Kind: k, From: m.self.Name, Seq: seq, Digest: m.routeDigest, Members: m.membersDigest(), Version: m.bundleVersion,
 		Updates: []Update{m.self},
 	}
-	slices.SortStableFunc(m.broadcasts, func(a, b broadcast) int { return b.remaining - a.remaining })
-	for i := range m.broadcasts {
-		if i == maxBroadcastsPerMessage {
-			break
-		}
-		m.broadcasts[i].remaining--
-		if r := m.broadcasts[i]; r.update.Name != "" {
+	for _, r := range m.takeBroadcasts() {
+		if r.update.Name != "" {
 			g.Updates = append(g.Updates, r.update)
 		} else {
 			g.Routes = append(g.Routes, r.route)
 		}
 	}
-	m.broadcasts = slices.DeleteFunc(m.broadcasts, func(r broadcast) bool { return r.remaining <= 0 })
 	return g
 }
 
@@ -50,36 +90,52 @@
 	m.actions = append(m.actions, Send{To: to, Zone: r.Zone, Address: r.Address, Message: g})
 }
 
-// ping pings the next member of the ping order, once per PingInterval.
+// ping pings a member once per PingInterval.
 func (m *Membership) ping(now time.Duration) {
 	if now < m.nextPingAt {
 		return
 	}
 	m.nextPingAt = now + PingInterval
 	m.pingCount++
+	k, ok := m.nextNeighbor()
+	if !ok {
+		k, ok = m.nextInOrder()
+	}
+	if !ok {
+		return
+	}
+	r, _ := m.members.Get(k)
+	m.seq++
+	m.members.Put(k, r.WithPing(now, m.seq))
+	if r.State == StateAlive {
+		m.members.SetDue(k, now+m.ackTimeout())
+	}
+	m.send(k, m.message(KindPing, m.seq))
+}
+
+// nextInOrder returns the next member of the ping order.
+func (m *Membership) nextInOrder() (string, bool) {
 	for range m.pingOrder {
 		k := m.pingOrder[m.nextIndex%len(m.pingOrder)]
 		m.nextIndex++
 		r, ok := m.members.Get(k)
-		if !ok || r.State == StateDead && m.pingCount%deadPingEvery != 0 {
+		if !ok || r.State == StateDead && m.pingCount%deadPingEvery != 0 || m.skipsRemote(r) {
 			continue
 		}
-		m.seq++
-		m.members.Put(k, r.WithPing(now, m.seq))
-		if r.State == StateAlive {
-			m.members.SetDue(k, now+AckTimeout)
-		}
-		m.send(k, m.message(KindPing, m.seq))
-		return
+		return k, true
 	}
+	return "", false
 }
 
 // gossip sends the queued broadcasts to gossipFanout members if gossipNow is set, without waiting for the next ping.
-func (m *Membership) gossip() {
-	if !m.gossipNow {
+func (m *Membership) gossip(now time.Duration) {
+	if !m.gossipNow || now < m.nextGossipAt {
 		return
 	}
 	m.gossipNow = false
+	if m.large {
+		m.nextGossipAt = now + gossipInterval
+	}
 	for _, k := range m.chooseMembers(gossipFanout, "") {
 		m.send(k, m.message(KindGossip, 0))
 	}
@@ -109,6 +165,8 @@
 	for _, k := range m.members.TakeDue(now) {
 		r, _ := m.members.Get(k)
 		switch {
+		case now < m.judgeFrom:
+			m.members.SetDue(k, m.judgeFrom)
 		case r.State == StateDead:
 			m.removeMember(k)
 		case r.State == StateSuspect && now-r.StateSince >= DeadAfter:
@@ -116,7 +174,7 @@
 			m.gossipNow = true
 		case r.State == StateSuspect:
 			m.members.SetDue(k, r.StateSince+DeadAfter)
-		case r.PendingPing != 0 && now-r.PingSentAt >= SuspectAfter:
+		case r.PendingPing != 0 && now-r.PingSentAt >= m.suspectAfter():
 			m.change(r, r.WithState(now, StateSuspect, r.Incarnation))
 		case r.PendingPing != 0 && !r.IndirectPing:
 			m.requestIndirectPings(k, r)
@@ -126,7 +184,7 @@
 
 func (m *Membership) requestIndirectPings(k string, r Member) {
 	m.members.Put(k, r.WithIndirectPing())
-	m.members.SetDue(k, r.PingSentAt+SuspectAfter)
+	m.members.SetDue(k, r.PingSentAt+m.suspectAfter())
 	for _, o := range m.chooseMembers(gossipFanout, k) {
 		g := m.message(KindPingRequest, r.PendingPing)
 		g.Target = k
@@ -140,10 +198,17 @@
 	m.membersChanged = true
 }
 
-func (m *Membership) publishMembers() {
-	if !m.membersChanged {
+// publishMembers reports a changed list of members. In a large fleet it does so at intervals: each list costs work that grows with
+// the fleet, and while many nodes start, nearly every message changes the list.
+func (m *Membership) publishMembers(now time.Duration) {
+	if !m.membersChanged || now < m.nextPublishAt {
 		return
 	}
 	m.membersChanged = false
-	m.actions = append(m.actions, MembersChanged{Members: m.Alive(), Known: m.members.Len() + 1, VMsListed: m.vmsListed})
+	alive := m.Alive()
+	m.chooseNeighbors(alive)
+	if m.large {
+		m.nextPublishAt = now + min(maxPublishInterval, time.Duration(len(alive))*publishIntervalPerMember)
+	}
+	m.actions = append(m.actions, MembersChanged{Members: alive, Known: m.members.Len() + 1, VMsListed: m.vmsListed})
 }
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -2,12 +2,9 @@
 
 import (
 	"cmp"
-	"math/bits"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"buckthornport.example/buckthornport/internal/table"
 )
 
@@ -39,15 +36,29 @@
 
 // Membership holds one node's tables of the other nodes and of the routes.
 type Membership struct {
-	self        Update
-	members     *table.Table[string, Member]
-	routes      *table.Table[string, Route]
-	broadcasts  []broadcast
-	pingOrder   []string
-	nextIndex   int
-	pingCount   int
-	seq         uint64
-	nextPingAt  time.Duration
+	self       Update
+	members    *table.Table[string, Member]
+	routes     *table.Table[string, Route]
+	broadcasts []broadcast
+	pingOrder  []string
+	nextIndex  int
+	pingCount  int
+	seq        uint64
+	nextPingAt time.Duration
+	// nextGossipAt and nextPublishAt are the earliest times of the next urgent gossip and of the next list of members.
+	nextGossipAt  time.Duration
+	nextPublishAt time.Duration
+	// large is set while the fleet has more than maxSmallFleet live members. Its neighbors then get most of the pings, and
+	// neighborIndex is the next of them.
+	large         bool
+	neighbors     []string
+	neighborIndex int
+	region        func(zone string) string
+	// roundTrip is the smoothed time between a ping and its ack.
+	roundTrip time.Duration
+	// wakeAt is the time by which Step is called next, and judgeFrom that from which on members may become suspect or dead.
+	wakeAt      time.Duration
+	judgeFrom   time.Duration
 	routeDigest uint64
 	// othersDigest is the digest of all members except this node.
 	othersDigest   uint64
@@ -112,7 +123,9 @@
 		routes:         table.New[string, Route](),
 		relayedPings:   map[uint64]relayedPing{},
 		random:         func(int) int { return 0 },
+		region:         func(string) string { return "" },
 		membersChanged: true,
+		roundTrip:      firstRoundTrip,
 	}
 	for _, o := range opts {
 		if err := o(m); err != nil {
@@ -126,26 +139,40 @@
 // Step applies the events since the last step. It returns the resulting actions, and the time by which Step must be called again.
 func (m *Membership) Step(now time.Duration, es []Event) ([]Action, time.Duration) {
 	m.actions = nil
+	m.detectOwnDelay(now)
 	for _, e := range es {
 		m.apply(now, e)
 	}
 	m.expireMembers(now)
 	m.ping(now)
-	m.gossip()
-	m.publishMembers()
-	return m.actions, min(m.nextPingAt, m.members.NextDue())
+	m.gossip(now)
+	m.publishMembers(now)
+	m.wakeAt = m.nextStepAt()
+	return m.actions, m.wakeAt
+}
+
+// nextStepAt returns the time by which Step must be called again.
+func (m *Membership) nextStepAt() time.Duration {
+	at := min(m.nextPingAt, m.members.NextDue())
+	if m.gossipNow {
+		at = min(at, m.nextGossipAt)
+	}
+	if m.membersChanged {
+		at = min(at, m.nextPublishAt)
+	}
+	return at
 }
 
 // Alive returns this node and all members that are alive or suspect, sorted by name.
 func (m *Membership) Alive() []Update {
-	us := []Update{m.self}
+	us := make([]Update, 0, m.members.Len()+1)
 	for _, k := range m.members.Keys() {
 		if r, _ := m.members.Get(k); r.State.present() {
 			us = append(us, r.update())
 		}
 	}
-	slices.SortFunc(us, func(a, b Update) int { return cmp.Compare(a.Name, b.Name) })
-	return us
+	i, _ := slices.BinarySearchFunc(us, m.self.Name, func(u Update, name string) int { return cmp.Compare(u.Name, name) })
+	return slices.Insert(us, i, m.self)
 }
 
 // Version returns the version of the bundle that this node passes on.
@@ -158,8 +185,10 @@
 	case MessageReceived:
 		m.receiveMessage(now, e.Message)
 	case VMsListed:
-		m.membersChanged = m.membersChanged || !m.vmsListed
-		m.vmsListed = true
+		if !m.vmsListed {
+			m.vmsListed, m.membersChanged, m.nextPublishAt = true, true, now
+			m.dropListed(e.Updates)
+		}
 		for _, u := range e.Updates {
 			m.applyListedVM(now, u)
 		}
@@ -199,6 +228,7 @@
 
 func (m *Membership) receiveMessage(now time.Duration, g Message) {
 	if r, ok := m.members.Get(g.From); ok && g.From != m.self.Name {
+		m.measureRoundTrip(now, r, g)
 		m.clearSuspicion(now, r)
 	}
 	for _, u := range g.Updates {
@@ -410,18 +440,3 @@
 		m.actions = append(m.actions, LearnRoute{Route: r})
 	}
 }
-
-// hash returns the hash of a route. The XOR of the hashes of all routes is the route digest.
-func (r Route) hash() uint64 {
-	if r.Term == 0 && r.Floor.IsZero() {
-		return 0
-	}
-	h := xxhash.New()
-	_, _ = h.WriteString(r.Group + "\x00" + r.Primary)
-	return h.Sum64() ^ hashNumber(r.Term) ^ hashNumber(r.Floor.Term)*3 ^ hashNumber(r.Floor.Offset)*5
-}
-
-// hashNumber spreads a number over 64 bits. It returns zero for zero.
-func hashNumber(n uint64) uint64 {
-	return bits.RotateLeft64(n*0x9e3779b97f4a7c15, int(n%63))
-}
--- a/internal/peer/rendezvous.go
+++ b/internal/peer/rendezvous.go
@@ -69,26 +69,34 @@
 
 // rankStoreReaders returns the names of the first count members in the order in which they read the store.
 func rankStoreReaders(members []Update, count int) []string {
+	ranked := make([]candidate, 0, len(members))
+	for _, u := range members {
+		ranked = append(ranked, candidate{zone: u.Zone, name: u.Name, score: score(u, "store")})
+	}
 	var names []string
 	zones := map[string]bool{}
 	for len(names) < min(count, len(members)) {
-		var best Update
-		bestScore, bestInNewZone := 0.0, false
-		for _, u := range members {
-			s, inNewZone := score(u, "store"), !zones[u.Zone]
-			if slices.Contains(names, u.Name) || bestInNewZone && !inNewZone {
-				continue
-			}
-			if best.Name == "" || inNewZone && !bestInNewZone || s > bestScore || s == bestScore && u.Name < best.Name {
-				best, bestScore, bestInNewZone = u, s, inNewZone
+		best := -1
+		for i, a := range ranked {
+			if a.name != "" && (best < 0 || a.readsBefore(ranked[best], zones)) {
+				best = i
 			}
 		}
-		names = append(names, best.Name)
-		zones[best.Zone] = true
+		names = append(names, ranked[best].name)
+		zones[ranked[best].zone] = true
+		ranked[best].name = ""
 	}
 	return names
 }
 
+// readsBefore reports whether a candidate reads the store rather than another one: one of a zone without a reader goes first.
+func (a candidate) readsBefore(o candidate, zones map[string]bool) bool {
+	if zones[a.zone] != zones[o.zone] {
+		return !zones[a.zone]
+	}
+	return a.precedes(o)
+}
+
 const (
 	// kautzDegree is the number of successors of a node in the Kautz graph.
 	kautzDegree = 3
--- a/internal/peer/rows.go
+++ b/internal/peer/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -131,6 +132,21 @@
 	return r
 }
 
+// hash returns the hash of a route. The XOR of the hashes of all routes is the route digest.
+func (r Route) hash() uint64 {
+	if r.Term == 0 && r.Floor.IsZero() {
+		return 0
+	}
+	h := xxhash.New()
+	_, _ = h.WriteString(r.Group + "\x00" + r.Primary)
+	return h.Sum64() ^ hashNumber(r.Term) ^ hashNumber(r.Floor.Term)*3 ^ hashNumber(r.Floor.Offset)*5
+}
+
+// hashNumber spreads a number over 64 bits. It returns zero for zero.
+func hashNumber(n uint64) uint64 {
+	return bits.RotateLeft64(n*0x9e3779b97f4a7c15, int(n%63))
+}
+
 // Kind is the kind of a message.
 type Kind uint8
 
