--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -12,6 +12,7 @@
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/control"
 	"buckthornport.example/buckthornport/internal/dispatcher"
+	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/peerlink"
@@ -34,7 +35,12 @@
 			n.thread.Post(listing.MessageReceived{From: from, Message: t})
 		}),
 		peerlink.WithLimitHandler(n.receiveLimit, n.noteUnreachable),
-		peerlink.WithByteCounter(func(zone string, bytes int) { n.peerBytes.AddSent(n.settings.Distance(zone), bytes) }))
+		peerlink.WithConnectionCounter(n.purposes.AddConnection),
+		peerlink.WithByteCounter(func(p metrics.Purpose, zone string, bytes int) {
+			d := n.settings.Distance(zone)
+			n.peerBytes.AddSent(d, bytes)
+			n.purposes.AddMessage(p, d, bytes)
+		}))
 	return err
 }
 
@@ -44,7 +50,9 @@
 		return err
 	}
 	incarnation := uint64(n.start.UnixNano())
-	opts := []peer.Option{peer.WithRandom(tick.RandomIntN), peer.WithWeight(n.settings.CPUWeight())}
+	opts := []peer.Option{
+		peer.WithRandom(tick.RandomIntN), peer.WithWeight(n.settings.CPUWeight()), peer.WithRegion(n.settings.Zones.Region),
+	}
 	for _, a := range n.settings.Seeds {
 		if a != n.settings.Peer {
 			opts = append(opts, peer.WithMember(a, "", a))
@@ -266,6 +274,7 @@
 		n.thread.Post(upstream.CommitsAcknowledged{Group: group, Position: a.Position})
 	}
 	l.Dial = func(ctx context.Context, a caller.Open, post func(caller.Event)) (traffic.UpstreamConn, error) {
+		n.purposes.AddConnection(metrics.Statements)
 		u, err := n.controlClient.DialUpstream(ctx, n.listener, group, a, post)
 		switch {
 		case errors.Is(err, traffic.ErrConnectionLimit):
--- a/internal/peerlink/limits.go
+++ b/internal/peerlink/limits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/internal/tenant"
 )
 
@@ -23,7 +24,7 @@
 
 // SendLimit queues a message from the node named self about limits. It never blocks, and drops the message if the queue is full.
 func (l *Link) SendLimit(self, address, zone string, m tenant.Message) {
-	l.enqueue(address, outgoing{zone: zone, encode: func() (*Message, error) {
+	l.enqueue(address, address, outgoing{purpose: metrics.Limits, zone: zone, encode: func() (*Message, error) {
 		return &Message{Kind: kindLimit, From: self, Limit: encodeLimit(m)}, nil
 	}})
 }
