Limits: nodes without an answer go on within a part of their recent rate

A home leaves the parts of the limit of nodes that it does not see to them; the smaller part of a divided fleet lends at half of its share.

--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -212,6 +212,7 @@
 	t.Line("limit_credit_total", s.CreditAsked, "step", "asked")
 	t.Line("limit_credit_total", s.CreditReceived, "step", "granted")
 	t.Line("limit_credit_total", s.CreditLent, "step", "lent")
+	t.Line("limit_operations_without_answer_total", s.Alone)
 	t.Line("limit_messages_total", s.MessagesSent)
 }
 
--- a/internal/tenant/account.go
+++ b/internal/tenant/account.go
@@ -61,7 +61,7 @@
 	if len(t.queue) == 0 {
 		var ok bool
 		if t, ok = t.withoutOne(now); ok {
-			a.tenants.Put(e.Tenant, t)
+			a.tenants.Put(e.Tenant, t.withAdmitted(now))
 			a.admit(now, e.Session, w)
 			return
 		}
@@ -77,7 +77,11 @@
 	a.stats.row(e.Tenant).Waited++
 	a.waiting.Put(e.Session, w)
 	a.waiting.SetDue(e.Session, e.Deadline)
-	a.tenants.Put(e.Tenant, t.withQueued(e.Session))
+	t = t.withQueued(e.Session)
+	if t.alone.silentSince != 0 {
+		t = a.admitAlone(now, now, e.Tenant, t)
+	}
+	a.tenants.Put(e.Tenant, t)
 }
 
 func (a *Account) admit(now time.Duration, id caller.SessionID, w waiter) {
@@ -137,7 +141,7 @@
 func (a *Account) abandonAsks(now time.Duration) {
 	for _, seq := range a.asks.Keys() {
 		if q, _ := a.asks.Get(seq); !q.overdue && a.homes.passedOver(now, q.home) {
-			a.giveUp(seq, q)
+			a.unanswered(now, seq, q)
 		}
 	}
 }
@@ -152,6 +156,15 @@
 	a.asks.SetDue(seq, q.at+a.lifetime)
 }
 
+// unanswered gives up a question, and admits what the node may admit without an answer.
+func (a *Account) unanswered(now time.Duration, seq uint64, q question) {
+	a.giveUp(seq, q)
+	for name := range q.needs {
+		t, _ := a.tenants.Get(name)
+		a.tenants.Put(name, a.admitAlone(now, now+silenceTime, name, t))
+	}
+}
+
 // receive uses the answer to a question.
 func (a *Account) receive(now time.Duration, from string, m Message) {
 	q, ok := a.asks.Get(m.Seq)
@@ -182,14 +195,18 @@
 			break
 		}
 		id := t.queue[0]
-		t = next.withoutQueued(id)
+		t = next.withoutQueued(id).withAdmitted(now)
 		a.pass(now, id)
 	}
+	if !g.Unready {
+		t.alone = t.alone.withAnswer()
+	}
 	short := need - g.Credit
 	switch {
 	case short <= 0:
 	case g.Unready:
 		t.askAfter = now + askTimeout
+		t = a.admitAlone(now, now, g.Tenant, t)
 	default:
 		t.refusedUntil = now + g.RetryAfter
 		t.probeAt = now + min(g.RetryAfter, probeInterval)
@@ -222,7 +239,7 @@
 		if q, _ := a.asks.Get(seq); q.overdue {
 			a.asks.Delete(seq)
 		} else {
-			a.giveUp(seq, q)
+			a.unanswered(now, seq, q)
 		}
 	}
 	for _, name := range a.tenants.TakeDue(now) {
@@ -248,6 +265,10 @@
 			continue
 		}
 		home := a.homes.home(now, name)
+		if home == "" {
+			t = a.admitAlone(now, now, name, t)
+			a.tenants.Put(name, t)
+		}
 		if home == "" || now < t.askAfter {
 			a.tenants.SetDue(name, max(t.askAfter, now+probeInterval))
 			continue
--- a/internal/tenant/account_rows.go
+++ b/internal/tenant/account_rows.go
@@ -46,9 +46,13 @@
 	probeAt      time.Duration
 	// askAfter is the time before which the home is not asked again.
 	askAfter time.Duration
-	// arrivals is an exponentially decaying count of the operations, as of usedAt.
-	arrivals float64
-	usedAt   time.Duration
+	// arrivals is an exponentially decaying count of the operations, as of usedAt, and admitted one of those admitted.
+	arrivals   float64
+	usedAt     time.Duration
+	admitted   float64
+	admittedAt time.Duration
+	// alone admits operations while no home answers.
+	alone fallback
 }
 
 // arrivalMemory is the time constant of the moving rate of a tenant's operations.
--- /dev/null
+++ b/internal/tenant/fallback.go
@@ -0,0 +1,114 @@
+package tenant
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// fallbackPart is the part of its recent rate, or of an equal share of the limit, that a node admits without credit while no home
+	// answers. Nodes that are cut off and a home that has not noticed it yet thus stay within the tolerance together.
+	fallbackPart = 0.5
+	// silenceTime is how long after its first overdue question a node takes the home for silent. A late answer comes before.
+	silenceTime = 200 * time.Millisecond
+	// admittedMemory is the time constant of the recent rate. It is as long as the window in which operations are bounded, so that a
+	// burst counts little.
+	admittedMemory = 5 * time.Second
+	// recentRateTime is how long without an answer that holds. By then another home answers, or the nodes without one are few, and
+	// lateFallbackPart of the equal share is left.
+	recentRateTime   = 3 * time.Second
+	lateFallbackPart = 0.1
+	// fallbackBurst is the size of a node's own bucket, as the time for which its rate fills it; it holds one operation at least.
+	fallbackBurst = 500 * time.Millisecond
+)
+
+// fallback is the token bucket with which a node admits operations of one tenant while no home answers. It is an immutable value.
+type fallback struct {
+	// silentSince is from when on the home counts as silent: some time after the first question that remained without an answer which
+	// says how much credit there is. It is zero if the last question had such an answer.
+	silentSince time.Duration
+	// recentRate is the rate of the node's admitted operations at that time.
+	recentRate float64
+	tokens     float64
+	at         time.Duration
+}
+
+// withSilence returns the bucket for a home that counts as silent from the given time on.
+func (f fallback) withSilence(from time.Duration, recentRate float64) fallback {
+	if f.silentSince == 0 {
+		f.silentSince, f.recentRate = from, recentRate
+	}
+	return f
+}
+
+// withAnswer returns the bucket after an answer of a home. Its tokens stay, so that homes that come and go do not fill it anew.
+func (f fallback) withAnswer() fallback {
+	f.silentSince = 0
+	return f
+}
+
+// withTime returns the bucket as of now, for a node whose equal share of the limit is given in operations per second.
+func (f fallback) withTime(now time.Duration, share float64) fallback {
+	rate := share * lateFallbackPart
+	if now < f.silentSince+recentRateTime {
+		rate = max(share, f.recentRate) * fallbackPart
+	}
+	size := max(1, rate*fallbackBurst.Seconds())
+	if f.at == 0 {
+		f.tokens = size
+	} else {
+		f.tokens = min(size, f.tokens+rate*(now-f.at).Seconds())
+	}
+	f.at = now
+	return f
+}
+
+// withoutOne returns the bucket without one operation, and whether it had one for a home that is silent now.
+func (f fallback) withoutOne(now time.Duration) (fallback, bool) {
+	if f.silentSince == 0 || now < f.silentSince || f.tokens < 1 {
+		return f, false
+	}
+	f.tokens--
+	return f, true
+}
+
+// withAdmitted returns the account after an operation was admitted.
+func (a account) withAdmitted(now time.Duration) account {
+	a.admitted = a.admittedRate(now)*admittedMemory.Seconds() + 1
+	a.admittedAt = now
+	return a
+}
+
+// admittedRate returns the moving rate of the admitted operations per second.
+func (a account) admittedRate(now time.Duration) float64 {
+	return a.admitted * math.Exp(-(now-a.admittedAt).Seconds()/admittedMemory.Seconds()) / admittedMemory.Seconds()
+}
+
+// equalShare returns a node's equal share of a limit in operations per second. It is zero while the fleet's size is not known.
+func (h *homes) equalShare(l Limit) float64 {
+	if !h.members.Complete {
+		return 0
+	}
+	return l.Rate / float64(max(1, h.members.Known, h.members.Alive))
+}
+
+// admitAlone admits operations of a tenant that wait while no home answers, as far as the node's own bucket goes. The home counts as
+// silent from the given time on.
+func (a *Account) admitAlone(now, from time.Duration, name string, t account) account {
+	t.alone = t.alone.withSilence(from, t.admittedRate(now)).withTime(now, a.homes.equalShare(a.limits[name]))
+	for len(t.queue) > 0 {
+		f, ok := t.alone.withoutOne(now)
+		if !ok {
+			break
+		}
+		id := t.queue[0]
+		t = t.withoutQueued(id).withAdmitted(now)
+		t.alone = f
+		if t.asked > len(t.queue) {
+			t.asked = len(t.queue)
+		}
+		a.stats.Alone++
+		a.pass(now, id)
+	}
+	return t
+}
--- a/internal/tenant/ledger.go
+++ b/internal/tenant/ledger.go
@@ -10,8 +10,9 @@
 const (
 	// bucketTimeout is how long the bucket of a tenant is kept after the node was last its home.
 	bucketTimeout = 10 * time.Second
-	// dividedShares is into how many parts the tolerance is divided. All parts of a divided fleet together lend at one of them.
-	dividedShares = 4
+	// dividedPart is the part of its share of a tenant's rate at which a part of a divided fleet lends that sees half of the nodes at
+	// most. The other part leaves that share to it.
+	dividedPart = 0.5
 	// maxRefusalMS bounds the time until the next token that a home tells, in milliseconds.
 	maxRefusalMS = 5000
 )
@@ -43,14 +44,15 @@
 	}
 }
 
-// refill returns how buckets are refilled at present. While the node sees more than half of the fleet, it lends only under a lease.
+// refill returns how buckets are refilled at present. While the node sees more than half of the fleet, it lends only under a lease,
+// and leaves the parts of the nodes that it does not see to them, since these may be cut off and go on.
 // Otherwise it lends its share of a small rate, which needs no agreement.
 func (l *Ledger) refill() refill {
 	if l.homes.majority() {
-		return refill{leased: true}
+		return refill{leased: true, part: l.homes.aliveShare()}
 	}
 	share := l.homes.aliveShare()
-	return refill{low: l.bounds.slackShare() * share, slow: l.bounds.Tolerance / dividedShares * share}
+	return refill{low: l.bounds.slackShare() * share, slow: dividedPart * share}
 }
 
 // bringUpToDate refills all buckets. It is called before what the refill depends on changes.
--- a/internal/tenant/ledger_rows.go
+++ b/internal/tenant/ledger_rows.go
@@ -42,8 +42,9 @@
 // refill holds how a bucket is refilled. Without a lease that counts it tends towards the low level: it loses tokens at the rate of
 // the tenant, since another home may gain them at that rate, and gains them at a part of the rate.
 type refill struct {
-	// leased is set if a lease counts.
+	// leased is set if a lease counts. It then fills the bucket at a part of the tenant's rate.
 	leased bool
+	part   float64
 	low    float64
 	slow   float64
 }
@@ -51,7 +52,7 @@
 // withTime returns the bucket as of now.
 func (b bucket) withTime(now time.Duration, r refill) bucket {
 	if until := min(now, b.leasedUntil); r.leased && until > b.at {
-		b.tokens = min(b.capacity, b.tokens+b.limit.Rate*(until-b.at).Seconds())
+		b.tokens = min(b.capacity, b.tokens+r.part*b.limit.Rate*(until-b.at).Seconds())
 		b.at = until
 	}
 	if now > b.at {
--- a/internal/tenant/stats.go
+++ b/internal/tenant/stats.go
@@ -8,6 +8,8 @@
 	CreditAsked    uint64
 	CreditReceived uint64
 	CreditLent     uint64
+	// Alone counts the operations that were admitted without credit while no home answered.
+	Alone uint64
 	// MessagesSent counts the messages to other nodes.
 	MessagesSent uint64
 	rows         map[string]*Counts
