--- a/internal/fleet/drain.go
+++ b/internal/fleet/drain.go
@@ -34,7 +34,7 @@
 func (n *Node) Drain() {
 	n.draining.Store(true)
 	n.thread.Post(peer.DrainStarted{})
-	n.updateLimitMembers()
+	n.replaceLimitMembers()
 	n.notifyDraining()
 	grace := time.Duration(n.grace.Load())
 	started := n.clock()
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -73,7 +73,7 @@
 	if l == nil {
 		l = n.newTenantLimits()
 		n.tenantLimits.Store(l)
-		n.updateLimitMembers()
+		n.replaceLimitMembers()
 		go func() { _ = l.loop.Run(n.ctx) }()
 	}
 	l.loop.Post(tenant.LimitsChanged{Version: version, Limits: limits})
@@ -118,20 +118,35 @@
 	}
 }
 
-// updateLimitMembers passes the members on. A draining node is no longer one of them.
-func (n *Node) updateLimitMembers() {
+// replaceLimitMembers chooses the homes and witnesses among the members and passes them on. A draining node is none of them.
+func (n *Node) replaceLimitMembers() {
 	if n.tenantLimits.Load() == nil {
 		return
 	}
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	members := slices.DeleteFunc(slices.Clone(n.members), func(u peer.Update) bool {
 		return u.Name == n.settings.Peer && n.draining.Load()
 	})
 	all := slices.Concat(members, n.lostMembers)
-	e := tenant.MembersChanged{Homes: peer.LimitHomes(members), Witnesses: peer.LimitWitnesses(all), Known: len(all)}
-	e.Complete = n.membersListed
-	for _, u := range members {
+	n.limitMembers = tenant.MembersChanged{
+		Homes: peer.LimitHomes(members), Witnesses: peer.LimitWitnesses(all), Known: len(all), Complete: n.membersListed,
+	}
+	n.mu.Unlock()
+	n.updateLimitMembers()
+}
+
+// updateLimitMembers passes on which members answer.
+func (n *Node) updateLimitMembers() {
+	if n.tenantLimits.Load() == nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	e := n.limitMembers
+	for _, u := range n.members {
+		if u.Name == n.settings.Peer && n.draining.Load() {
+			continue
+		}
 		if n.isSuspect(u.Name) {
 			e.Suspects = append(e.Suspects, u.Name)
 		} else {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -90,6 +90,8 @@
 	// lostMembers are the members that are considered dead. membersListed is set once the member table was read.
 	lostMembers   []peer.Update
 	membersListed bool
+	// limitMembers holds the homes and witnesses of the tenants' limits.
+	limitMembers tenant.MembersChanged
 }
 
 // assignment holds the nodes that serve a group; local is set if this node is one of them.
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -99,7 +99,7 @@
 	n.membersRead = n.membersRead || a.VMsListed
 	n.lostMembers, n.membersListed = a.Lost, a.VMsListed
 	n.mu.Unlock()
-	n.updateLimitMembers()
+	n.replaceLimitMembers()
 	n.assignSources()
 	n.updateShares()
 }
--- a/internal/peer/rendezvous.go
+++ b/internal/peer/rendezvous.go
@@ -87,13 +87,20 @@
 
 // sortByScore returns the members sorted by their weighted rendezvous hashes for a key, best first.
 func sortByScore(members []Update, key string) []Update {
-	scores := make(map[string]float64, len(members))
+	type scored struct {
+		Update
+		score float64
+	}
+	all := make([]scored, 0, len(members))
 	for _, u := range members {
-		scores[u.Name] = score(u, key)
+		all = append(all, scored{Update: u, score: score(u, key)})
 	}
-	return slices.SortedFunc(slices.Values(members), func(a, b Update) int {
-		return cmp.Or(cmp.Compare(scores[b.Name], scores[a.Name]), cmp.Compare(a.Name, b.Name))
-	})
+	slices.SortFunc(all, func(a, b scored) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.Name, b.Name)) })
+	us := make([]Update, 0, len(all))
+	for _, v := range all {
+		us = append(us, v.Update)
+	}
+	return us
 }
 
 const (
--- a/internal/peer/rendezvous_test.go
+++ b/internal/peer/rendezvous_test.go
@@ -92,3 +92,30 @@
 	}), qt.IsTrue)
 	c.Assert(got, qt.HasLen, len(names))
 }
+
+// TestLimitWitnesses guards against a zone whose loss takes most of the witnesses, and against witnesses that change with every
+// member.
+func TestLimitWitnesses(t *testing.T) {
+	c := qt.New(t)
+	us := membersInZones(67, "a", "b", "c", "d", "e", "f")
+	names := peer.LimitWitnesses(us)
+	zones := map[string]bool{}
+	for _, u := range us {
+		if slices.Contains(names, u.Name) {
+			zones[u.Zone] = true
+		}
+	}
+	c.Assert(names, qt.HasLen, 5)
+	c.Assert(zones, qt.HasLen, 5)
+	slices.Reverse(us)
+	c.Assert(peer.LimitWitnesses(us), qt.DeepEquals, names)
+	us = slices.DeleteFunc(us, func(u peer.Update) bool { return u.Name == names[0] })
+	kept := 0
+	for _, name := range peer.LimitWitnesses(us) {
+		if slices.Contains(names, name) {
+			kept++
+		}
+	}
+	c.Assert(kept, qt.Equals, 4)
+	c.Assert(peer.LimitWitnesses(membersInZones(3, "a")), qt.HasLen, 3)
+}
--- a/internal/peerlink/limits.go
+++ b/internal/peerlink/limits.go
@@ -9,8 +9,13 @@
 // kindLimit is the kind of a message about the limits of tenants. It is outside the range of peer.Kind.
 const kindLimit = 102
 
-// maxCredit bounds the numbers of credits in a message of another node.
-const maxCredit = 1 << 20
+const (
+	// maxCredit bounds the numbers of credits in a message of another node.
+	maxCredit = 1 << 20
+	// maxLimitAge is how long a message about limits may wait for its connection. A home that got an older question would lend credit
+	// that has expired.
+	maxLimitAge = 300 * time.Millisecond
+)
 
 // WithLimitHandler passes messages about the limits of tenants to receive, with the name of the node that sent them. It passes the
 // address of a node to which no connection could be opened, whatever the message, to unreachable.
@@ -21,9 +26,10 @@
 	}
 }
 
-// SendLimit queues a message from the node named self about limits. It never blocks, and drops the message if the queue is full.
+// SendLimit queues a message from the node named self about limits. It never blocks, and drops the message if the queue is
+// full or the message has waited for maxLimitAge.
 func (l *Link) SendLimit(self, address, zone string, m tenant.Message) {
-	l.enqueue(address, outgoing{zone: zone, encode: func() (*Message, error) {
+	l.enqueue(address, outgoing{zone: zone, until: time.Now().Add(maxLimitAge), encode: func() (*Message, error) {
 		return &Message{Kind: kindLimit, From: self, Limit: encodeLimit(m)}, nil
 	}})
 }
--- a/internal/peerlink/limits_test.go
+++ b/internal/peerlink/limits_test.go
@@ -1,6 +1,7 @@
 package peerlink
 
 import (
+	"net"
 	"reflect"
 	"testing"
 	"time"
@@ -9,6 +10,8 @@
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
+	"buckthornport.example/buckthornport/internal/peer"
+	"buckthornport.example/buckthornport/internal/standin/loopback"
 	"buckthornport.example/buckthornport/internal/tenant"
 )
 
@@ -42,6 +45,37 @@
 			}
 		})
 	})
+	t.Run("a message that has waited too long is dropped", func(t *testing.T) {
+		c := qt.New(t)
+		received := make(chan uint64, 2)
+		to, err := New(func(peer.Message) {}, WithLimitHandler(func(_ string, m tenant.Message) { received <- m.Seq }, nil))
+		c.Assert(err, qt.IsNil)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		go func() { _ = to.Serve(listener) }()
+		from, err := New(func(peer.Message) {})
+		c.Assert(err, qt.IsNil)
+		defer from.Close()
+		address := listener.Addr().String()
+		from.enqueue(address, outgoing{until: time.Now(), encode: func() (*Message, error) {
+			return &Message{Kind: kindLimit, Limit: &LimitMessage{Seq: 1}}, nil
+		}})
+		from.SendLimit("a", address, "", tenant.Message{Seq: 2})
+		c.Assert(<-received, qt.Equals, uint64(2))
+		c.Assert(listener.Close(), qt.IsNil)
+		to.Close()
+	})
+	t.Run("a refused connection is reported", func(t *testing.T) {
+		c := qt.New(t)
+		address, err := loopback.FreeAddress()
+		c.Assert(err, qt.IsNil)
+		refused := make(chan string, 1)
+		from, err := New(func(peer.Message) {}, WithLimitHandler(nil, func(address string, _ error) { refused <- address }))
+		c.Assert(err, qt.IsNil)
+		defer from.Close()
+		from.SendLimit("a", address, "", tenant.Message{Seq: 1})
+		c.Assert(<-refused, qt.Equals, address)
+	})
 	t.Run("numbers out of range are bounded", func(t *testing.T) {
 		c := qt.New(t)
 		m := decodeLimit(&LimitMessage{Kind: 1 << 20, Asks: []*CreditAsk{{Need: 1<<32 - 1}}})
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -199,6 +199,13 @@
 type outgoing struct {
 	zone   string
 	encode func() (*Message, error)
+	// until is the time after which the message is dropped, zero for never.
+	until time.Time
+}
+
+// isStale reports whether the message has waited too long to be of use.
+func (m outgoing) isStale() bool {
+	return !m.until.IsZero() && time.Now().After(m.until)
 }
 
 func (l *Link) enqueue(address string, m outgoing) {
@@ -300,6 +307,10 @@
 }
 
 func (n *peerConn) write(stream net.Conn, m outgoing) error {
+	if m.isStale() {
+		n.link.messagesDropped.Add(1)
+		return nil
+	}
 	p, err := m.encode()
 	if err != nil {
 		return err
--- a/internal/tenant/limiter_test.go
+++ b/internal/tenant/limiter_test.go
@@ -143,7 +143,7 @@
 			w.load("t", steady(300))
 			w.Run(10 * time.Second)
 			before := len(w.admitted["t"])
-			k.fail(w, w.home("t"))
+			k.fail(w, w.home())
 			w.Run(20 * time.Second)
 			w.assertBounded()
 			c.Logf("%d operations in 10 s", len(w.admitted["t"])-before)
@@ -187,7 +187,7 @@
 			w.load("t", steady(164))
 			w.Run(10 * time.Second)
 			c.Assert(w.refused["t"], qt.Equals, 0)
-			w.home("t").kill()
+			w.home().kill()
 			w.Run(20 * time.Second)
 			w.assertBounded()
 			c.Logf("%d refused, longest wait %v", w.refused["t"], w.longestWait())
@@ -266,7 +266,7 @@
 	case "kill":
 		pick().kill()
 	case "kill home":
-		if n := w.home("t"); n != nil {
+		if n := w.home(); n != nil {
 			n.kill()
 		}
 	case "restart":
@@ -281,7 +281,7 @@
 		at := rapid.IntRange(0, len(w.nodes)).Draw(t, "size")
 		w.cut = func(a, b *node) bool { return (a.index < at) != (b.index < at) }
 	case "cut home":
-		home, k := w.home("t"), rapid.IntRange(1, 4).Draw(t, "every")
+		home, k := w.home(), rapid.IntRange(1, 4).Draw(t, "every")
 		w.cut = func(a, b *node) bool { return a == home && b.index%k == 0 || b == home && a.index%k == 0 }
 	case "heal":
 		w.cut = func(_, _ *node) bool { return false }
--- a/internal/tenant/world_test.go
+++ b/internal/tenant/world_test.go
@@ -312,8 +312,8 @@
 	c.Assert(n >= atLeast, qt.IsTrue, qt.Commentf("%s: %d admitted, want %d", name, n, atLeast))
 }
 
-// home returns the home of a tenant that most nodes agree on while all are alive and see each other.
-func (w *world) home(name string) *node {
+// home returns the home of tenant t that the nodes agree on while they see each other.
+func (w *world) home() *node {
 	var alive []peer.Update
 	for _, n := range w.nodes {
 		if n.alive {
@@ -323,7 +323,7 @@
 	if len(alive) == 0 {
 		return nil
 	}
-	first := peer.SortByRank(peer.LimitHomes(alive), name, func(string) int { return 0 })[0]
+	first := peer.SortByRank(peer.LimitHomes(alive), "t", func(string) int { return 0 })[0]
 	return w.nodes[slices.IndexFunc(w.nodes, func(n *node) bool { return n.name == first })]
 }
 
