--- a/internal/peerlink/conn.go
+++ b/internal/peerlink/conn.go
@@ -99,6 +99,10 @@
 }
 
 func (n *peerConn) write(s sendStream, m outgoing) error {
+	if m.isStale() {
+		n.link.messagesDropped.Add(1)
+		return nil
+	}
 	p, err := m.encode()
 	if err != nil {
 		return err
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -229,6 +229,13 @@
 	purpose metrics.Purpose
 	zone    string
 	encode  func() (*Message, error)
+	// until is the time after which the message is dropped, zero for never.
+	until time.Time
+}
+
+// isStale reports whether the message has waited too long to be of use.
+func (m outgoing) isStale() bool {
+	return !m.until.IsZero() && time.Now().After(m.until)
 }
 
 func (l *Link) enqueue(node, address string, m outgoing) {
