Small shares of connections let transactions keep the slots busy

On public routes, connections without a tenant had no minimum time and were evicted first. Change: with fewer than 7 connections, open transactions may hold as many as there are slots, and all but one at most. Connections without a tenant count as those of one.

--- a/internal/caller/policy.go
+++ b/internal/caller/policy.go
@@ -21,8 +21,8 @@
 	// Share returns the name under which a request takes part in sharing its queue fairly. Requests of one name are served in order
 	// of arrival.
 	Share func(r Request) string
-	// TxLimit is how many open transactions a lane may have at a server, given its share of the server's connections.
-	TxLimit func(conns int) int
+	// TxLimit is how many open transactions a lane may have at a server, given its shares of the server's connections and slots.
+	TxLimit func(conns, slots int) int
 	// Route orders the servers that may run a read, best first.
 	Route func(q RouteQuery) []Server
 	// LongLimit is how many of a server's slots requests of long classes may hold at once.
@@ -108,14 +108,21 @@
 }
 
 // unlimited lets open transactions hold all connections.
-func unlimited(int) int {
+func unlimited(int, int) int {
 	return math.MaxInt
 }
 
+// smallConnShare is the share of a server's connections below which open transactions may hold more than half of it. Half of it
+// would leave slots unused while transactions wait. Only nodes of fleets in which each node serves for itself have such shares.
+const smallConnShare = 7
+
 // halfOfConns lets open transactions hold half of the connections, so that single statements go on while transactions wait for
-// their callers.
-func halfOfConns(conns int) int {
-	return max(1, conns/2)
+// their callers. Of a small share, they may hold as many connections as there are slots, but for one.
+func halfOfConns(conns, slots int) int {
+	if conns >= smallConnShare {
+		return conns / 2
+	}
+	return max(1, conns/2, min(conns-1, slots))
 }
 
 // waitUntilDeadline lets a request wait until its deadline.
--- a/internal/caller/pool.go
+++ b/internal/caller/pool.go
@@ -68,11 +68,7 @@
 		return
 	}
 	row, _ := l.servers.Get(c.Server)
-	row = row.WithOpeningConns(-1).WithOpenConns(1)
-	if c.Tenant != "" {
-		row = row.WithOpenTime(now - c.PhaseSince)
-	}
-	l.servers.Put(c.Server, row)
+	l.servers.Put(c.Server, row.WithOpeningConns(-1).WithOpenConns(1).WithOpenTime(now-c.PhaseSince))
 	l.openingEnded(c)
 	c.OpenedAt = now
 	l.returnToPool(now, c)
--- a/internal/caller/tenantconns.go
+++ b/internal/caller/tenantconns.go
@@ -67,9 +67,6 @@
 
 // changeUse replaces the row of a tenant's connections to a server. A row without connections is deleted.
 func (l *Lane) changeUse(k connKey, change func(u connUse) connUse) {
-	if k.tenant == "" {
-		return
-	}
 	if u := change(l.connUses[k]); u.conns > 0 {
 		l.connUses[k] = u
 	} else {
@@ -120,7 +117,7 @@
 // tenant that has been kept for long enough.
 func (l *Lane) evictConn(now time.Duration, row Server, tenant string) bool {
 	return l.closeLeastUsed(now, row, func(c Conn) bool {
-		return c.Tenant != tenant && (c.Tenant == "" || now >= c.OpenedAt+minTenure*openTime(row))
+		return c.Tenant != tenant && now >= c.OpenedAt+minTenure*openTime(row)
 	})
 }
 
@@ -148,7 +145,7 @@
 func (l *Lane) withTransactionRoom(ss []Server) []Server {
 	room := make([]Server, 0, len(ss))
 	for _, s := range ss {
-		if s.Transactions < l.policy.TxLimit(s.ConnLimit) {
+		if s.Transactions < l.policy.TxLimit(s.ConnLimit, s.Slots) {
 			room = append(room, s)
 		}
 	}
