A lane above a smaller share of connections evicts none for another

Cause: with more than one connection above the share, one that is evicted makes no room; the new one would have broken the share. Change: nothing is evicted or opened while the lane is above its share.

--- a/internal/caller/pool.go
+++ b/internal/caller/pool.go
@@ -34,12 +34,11 @@
 	if l.opening[k] >= waiting || now < row.RetryAt || !row.View.Alive {
 		return
 	}
-	if row.OpenConns+row.OpeningConns >= row.ConnLimit {
-		if !l.evictConn(now, row, k.tenant) {
-			return
-		}
-		row, _ = l.servers.Get(k.server)
+	// A share that has become smaller may be exceeded by more than one connection.
+	if n := row.OpenConns + row.OpeningConns; n > row.ConnLimit || n == row.ConnLimit && !l.evictConn(now, row, k.tenant) {
+		return
 	}
+	row, _ = l.servers.Get(k.server)
 	l.lastConn++
 	l.ensure(row.OpenConns+row.OpeningConns < row.ConnLimit, "connections_within_share", func() string {
 		return fmt.Sprintf("server %s: open %d opening %d of %d", row.View.Name, row.OpenConns, row.OpeningConns, row.ConnLimit)
