Records of forwarded requests name the tenant, and a tenant behind blocked ones is served

Change: the relay's records carry the tenant as the lane's do. TestTenantBehindBlockedOnes has 40 tenants wait for connections in front of one that has its own.

--- a/internal/caller/tenantconns_test.go
+++ b/internal/caller/tenantconns_test.go
@@ -1,6 +1,7 @@
 package caller_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -113,3 +114,21 @@
 	c.Check(time.Duration(f.opened())*openTime <= maxOpening, qt.IsTrue)
 	c.Check(slices.Min(shares) >= 0.9, qt.IsTrue)
 }
+
+// TestTenantBehindBlockedOnes guards against a tenant with a connection that waits behind many that wait for theirs.
+func TestTenantBehindBlockedOnes(t *testing.T) {
+	const blocked = 40
+	l := newAppointedLane(qt.New(t))
+	l.serve(1, withTenant(write, "ready"))
+	l.step(caller.SessionOpened{Session: 2, HasFloor: true})
+	o := only[caller.Open](l.c, l.step(caller.RequestReceived{Session: 2, Seq: 1, Statement: withTenant(write, "t0")}))
+	l.step(caller.ConnFailed{Conn: o.Conn, Full: true})
+	for i := range caller.SessionID(blocked) {
+		l.request(100+i, withTenant(write, fmt.Sprint("t", i)))
+	}
+	as := l.request(3, withTenant(write, "ready"))
+	for range blocked / 16 {
+		as = append(as, l.step()...)
+	}
+	l.c.Assert(only[caller.Send](l.c, as).Session, qt.Equals, caller.SessionID(3))
+}
--- a/internal/dispatcher/requests.go
+++ b/internal/dispatcher/requests.go
@@ -350,6 +350,9 @@
 	c = c.WithEvidence("class", q.statement.Class.Name).
 		WithEvidence("waited_ms", strconv.FormatInt((now-q.arrived).Milliseconds(), 10)).
 		WithEvidence("attempts", strconv.Itoa(q.attempts)).WithEvidence("dispatcher", q.peer)
+	if q.statement.Tenant != "" {
+		c = c.WithEvidence("tenant", q.statement.Tenant)
+	}
 	c.Evidence = append(c.Evidence, more...)
 	r.actions = append(r.actions, caller.WriteAuditRecord{Record: c})
 }
