Learned limits and routes where few nodes serve a group for all

Cause: each dispatcher had a fixed share of a server's slots, so that a busy one refused requests while the server was half idle, and routes by mean answer time did not see servers that are slow under load, fail part of their work or have recovered. Change: policy Adaptive. A lane learns for each server how many requests it takes well, from answer times against the baseline of the same kind of work, tells a slow server from a full one by a trial, and gives back what exceeds its share when times grow. Reads go where the answer is expected first; quiet replicas are tried. A declined request goes elsewhere in the same step, and is refused at once when all servers decline in a row. LimitsUpdated.MaxSlots turns it on; without it, decisions are those of Quickest.

--- a/internal/caller/appointed_test.go
+++ b/internal/caller/appointed_test.go
@@ -21,9 +21,14 @@
 }
 
 func newAppointedLane(c *qt.C) *appointedLane {
+	c.Helper()
+	return newAppointedLaneWith(c, caller.Quickest(func(string) int { return 0 }))
+}
+
+func newAppointedLaneWith(c *qt.C, p caller.Policy) *appointedLane {
 	c.Helper()
 	d, err := caller.NewLane("g", "z0", caller.WithGroupKind(caller.Appointed(func(string) int { return 0 })),
-		caller.WithPolicy(caller.Quickest(func(string) int { return 0 })),
+		caller.WithPolicy(p),
 		caller.WithViolationHandler(func(invariant, detail string) { c.Errorf("%s: %s", invariant, detail) }))
 	c.Assert(err, qt.IsNil)
 	l := &appointedLane{
--- a/internal/caller/audit.go
+++ b/internal/caller/audit.go
@@ -20,11 +20,17 @@
 	CauseSlow              = "slow"
 )
 
-// Causes lists the causes of audit records about one request.
+// The causes of audit records about the learned limit of a server.
+const (
+	CauseLimitHalved    = "limit_halved"
+	CauseLimitRecovered = "limit_recovered"
+)
+
+// Causes lists the causes of audit records about one request and about learned limits.
 func Causes() []string {
 	return []string{
 		CauseSent, CauseAnswered, CauseRefused, CauseUnknown, CauseDeclined, CauseConnectionLost, CauseConnectionGivenUp,
-		CauseResent, CauseSlow,
+		CauseResent, CauseSlow, CauseLimitHalved, CauseLimitRecovered,
 	}
 }
 
--- a/internal/caller/decline.go
+++ b/internal/caller/decline.go
@@ -65,6 +65,7 @@
 			why.Reason = ReasonInterrupted
 		}
 		l.refuse(r, why)
+	case e.Reason == DeclineBusy && l.refuseDeclined(now, r.WithDeclined(c.Server)):
 	default:
 		l.requeue(r.WithDeclined(c.Server))
 	}
@@ -73,9 +74,13 @@
 // backOff keeps requests away from a server for a short time.
 func (l *Lane) backOff(now time.Duration, server string, e Declined) {
 	row, _ := l.servers.Get(server)
-	if e.Reason == DeclineBehind {
+	switch {
+	case e.Reason == DeclineBehind:
 		row = row.WithBehindUntil(now + behindBackoff<<min(row.BehindCount, maxBehindDoublings))
-	} else {
+	case e.Reason == DeclineBusy && l.learns(row):
+		row = l.learnDecline(now, row)
+		row = row.WithDeclinedUntil(now + declinedBackoff<<min(row.Capacity.Declines-1, maxDeclineDoublings))
+	default:
 		row = row.WithDeclinedUntil(now + declinedBackoff)
 	}
 	l.servers.Put(server, row)
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -40,6 +40,7 @@
 	confirmations *table.Table[uint64, confirmation]
 	departures    *table.Table[int, departureStats]
 	answerTimes   *table.Table[string, classAnswerTime]
+	workTimes     *table.Table[workKey, WorkTime]
 	now           time.Duration
 	// replicaWaitUntil is the earliest time at which a read that waits for a replica may use the primary. Zero means that
 	// none waits.
@@ -169,6 +170,7 @@
 		confirmations: table.New[uint64, confirmation](),
 		departures:    table.New[int, departureStats](),
 		answerTimes:   table.New[string, classAnswerTime](),
+		workTimes:     table.New[workKey, WorkTime](),
 		leases:        table.New[string, lease](),
 		slotDemand:    map[string]demand{},
 		opening:       map[connKey]int{},
@@ -315,7 +317,14 @@
 		l.servers.Put(e.Server, s.WithLimits(s.Slots, s.LongSlots, e.Conns))
 		return
 	}
-	l.servers.Put(e.Server, s.WithLimits(e.Slots, l.policy.LongLimit(e.Slots), e.Conns))
+	s = s.WithLimits(e.Slots, l.policy.LongLimit(e.Slots), e.Conns)
+	if l.policy.Capacity.Answered != nil {
+		s.Capacity = s.Capacity.WithBounds(e.Slots, e.MaxSlots)
+	}
+	if l.learns(s) {
+		s.LongSlots = l.policy.LongLimit(s.Capacity.Allowed())
+	}
+	l.servers.Put(e.Server, s)
 }
 
 // updateView adopts a newer snapshot of the group. If the primary was replaced, it closes the connections to the old one.
@@ -363,6 +372,7 @@
 		if _, ok := v.Server(k); !ok {
 			l.closeServerConns(now, k)
 			l.servers.Delete(k)
+			l.forgetWork(k)
 		}
 	}
 }
--- a/internal/caller/messages.go
+++ b/internal/caller/messages.go
@@ -131,6 +131,8 @@
 	Server string
 	Slots  int
 	Conns  int
+	// MaxSlots is what the slots may grow to while the server's answers show that there is room. Zero means that Slots is fixed.
+	MaxSlots int
 }
 
 // DrainStarted reports that the node is draining.
--- a/internal/caller/policy.go
+++ b/internal/caller/policy.go
@@ -31,6 +31,8 @@
 	IdleTimeout time.Duration
 	// LeaseSlots is set if nodes request slots from servers instead of using static shares.
 	LeaseSlots bool
+	// Capacity is the rule by which the lane learns how much work a server takes, without functions for a fixed share.
+	Capacity CapacityRule
 }
 
 const defaultReplicaWait = 40 * time.Millisecond
@@ -48,6 +50,8 @@
 	// Samples are positions of the primary, oldest first. LeaderAt reports whether the primary certainly led at a time.
 	Samples  []upstream.Sample
 	LeaderAt func(at time.Duration) bool
+	// Work returns the learned times of the request's kind of work at a server.
+	Work func(server string) WorkTime
 }
 
 // DefaultPolicy selects queues by class, keeps slots free of long work and sends reads that accept an age to sufficiently
--- a/internal/caller/queue.go
+++ b/internal/caller/queue.go
@@ -302,7 +302,7 @@
 func (l *Lane) routeQuery(now time.Duration, s Session, r Request) RouteQuery {
 	return RouteQuery{
 		Now: now, Zone: l.zone, Session: s, Request: r, Primary: l.leader(), Rotation: l.rotation, Samples: l.samples,
-		LeaderAt: l.leaderAt,
+		LeaderAt: l.leaderAt, Work: l.workTime(r),
 	}
 }
 
@@ -347,10 +347,10 @@
 // send binds a request to a connection and sends it.
 func (l *Lane) send(now time.Duration, s Session, r Request, row Server, id ConnID) {
 	c, _ := l.conns.Get(id)
-	l.ensure(row.Running < row.Slots, "slots_within_share", func() string { return row.View.Name })
+	l.ensure(row.FreeSlots() > 0, "slots_within_share", func() string { return row.View.Name })
 	l.ensure(c.Request == 0 && (c.Session == 0 || c.Session == s.ID), "connection_not_shared",
 		func() string { return fmt.Sprintf("conn %d request %d session %d", c.ID, c.Request, c.Session) })
-	l.servers.Put(row.View.Name, row.WithoutIdleConn(id).WithRunning(1, r.Statement.Class.Long))
+	l.servers.Put(row.View.Name, row.WithoutIdleConn(id).WithSent(now).WithRunning(1, r.Statement.Class.Long))
 	l.conns.Put(id, c.WithPhase(now, ConnBusy).WithRequest(r.ID, r.Statement.Class.Long))
 	l.conns.SetDue(id, neverDue)
 	if r.Phase == PhaseResolving {
@@ -368,7 +368,7 @@
 		func() string { return fmt.Sprintf("request %d attempt %d", r.ID, r.Attempts+1) })
 	l.checkFloor(s, r, row)
 	l.stats.countSent(now, r, l.lastLeaderConfirmed())
-	r = r.WithRun(now, id, row.View.Name)
+	r = r.WithRun(now, id, row.View.Name).WithInFlight(row.Running + 1)
 	r = r.WithHeld(l.kind.HoldsAnswers || l.kind.NeedsConfirmation(s, r) || r.Statement.Kind == KindBegin)
 	if row.View.Name == l.view.Primary && l.needsLeadership(r) {
 		r = r.WithPendingLeadership()
--- a/internal/caller/reply.go
+++ b/internal/caller/reply.go
@@ -21,6 +21,7 @@
 	row, _ := l.servers.Get(c.Server)
 	if known {
 		row = row.WithAnswerTime(now - r.Started).WithBehindUntil(0).WithAnswered(now)
+		row = l.learnAnswer(now, row, r, e.Failed)
 		l.recordAnswerTime(r, now-r.Started)
 	}
 	if c.Server != l.view.Primary {
@@ -185,6 +186,7 @@
 	r, known := l.requests.Get(e.Request)
 	l.reportSuspect(now, c.Server, false)
 	l.removeConn(e.Conn)
+	l.learnLoss(now, c.Server, e)
 	if !known {
 		return
 	}
--- a/internal/caller/rows.go
+++ b/internal/caller/rows.go
@@ -212,6 +212,8 @@
 	Position     session.Position
 	Confirmation uint64
 	Attempts     int
+	// InFlight is the number of the lane's requests at the server when the request was last sent, including itself.
+	InFlight int
 	// Sent is set if an attempt may have run on a server, SentBefore if one before the last may have.
 	Sent       bool
 	SentBefore bool
@@ -280,6 +282,12 @@
 	return r
 }
 
+// WithInFlight returns the row sent as one of n requests of the lane at its server.
+func (r Request) WithInFlight(n int) Request {
+	r.InFlight = n
+	return r
+}
+
 // WithoutConn returns the row after its connection was released or lost.
 func (r Request) WithoutConn() Request {
 	r.Conn = 0
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -39,6 +39,10 @@
 	MeanAnswerTime time.Duration
 	// ShownPosition is the highest position that an answer of the server has shown in this term.
 	ShownPosition session.Position
+	// BusySince is when the server got a request while it ran none of this lane.
+	BusySince time.Duration
+	// Capacity is what the lane has learned about the server's capacity.
+	Capacity Capacity
 }
 
 // WithView returns the row with a newer snapshot of the server. While the server is alive and its term is unchanged, its
@@ -122,6 +126,14 @@
 	return s
 }
 
+// WithSent returns the row before a request is sent.
+func (s Server) WithSent(now time.Duration) Server {
+	if s.Running == 0 {
+		s.BusySince = now
+	}
+	return s
+}
+
 // WithOpeningConns returns the row with n more, or fewer, connections being opened.
 func (s Server) WithOpeningConns(n int) Server {
 	s.OpeningConns += n
@@ -156,7 +168,10 @@
 	return s
 }
 
-// FreeSlots returns how many more requests may run on the server.
+// FreeSlots returns how many more requests may run on the server, by the learned limit if the server has one.
 func (s Server) FreeSlots() int {
+	if s.Capacity.Max > 0 {
+		return s.Capacity.Allowed() - s.Running
+	}
 	return s.Slots - s.Running
 }
--- a/internal/caller/sessions.go
+++ b/internal/caller/sessions.go
@@ -158,6 +158,9 @@
 			WithEvidence("seen", s.Seen.String()))
 		l.sessions.Put(s.ID, s.WithLoweredFloor(f).WithFloor(s.Floor).WithActive(r.ID))
 	}
+	if s.TxConn == 0 && l.refuseDeclined(now, r) {
+		return
+	}
 	l.enqueue(now, r)
 }
 
--- a/internal/fleet/assemble.go
+++ b/internal/fleet/assemble.go
@@ -246,7 +246,7 @@
 func (n *Node) openLane(group string) (*traffic.Lane, error) {
 	d, err := caller.NewLane(group, n.settings.Zone, caller.WithJitter(tick.Jitter),
 		caller.WithGroupKind(caller.Appointed(n.settings.DistanceRank)),
-		caller.WithPolicy(caller.Quickest(n.settings.DistanceRank)), caller.WithViolationHandler(n.logInvariantViolation),
+		caller.WithPolicy(caller.Adaptive(n.settings.DistanceRank)), caller.WithViolationHandler(n.logInvariantViolation),
 		caller.WithTrace(operator.TraceSampled))
 	if err != nil {
 		return nil, err
--- a/internal/fleet/dispatcher_test.go
+++ b/internal/fleet/dispatcher_test.go
@@ -13,6 +13,7 @@
 
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/standin/metadata"
+	"buckthornport.example/buckthornport/pkg/bundle"
 )
 
 // scarceConnections is the connection limit of each server in deployments with many nodes.
@@ -271,6 +272,23 @@
 	c.Assert(n.suspects, qt.HasLen, 0)
 }
 
+// TestLearnedLimits guards against learned limits where each node serves a group with connections of its own.
+func TestLearnedLimits(t *testing.T) {
+	for _, k := range []struct {
+		name          string
+		members, want int
+	}{
+		{"as many connections as nodes need", 3, 0},
+		{"few connections", 4, 12},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			n := &Node{members: make([]peer.Update, k.members)}
+			g := bundle.Group{Name: "books", ConnectionsPerServer: scarceConnections}
+			qt.Assert(t, n.maxSlots(g, listedServer{group: "books", slots: 4}, 6), qt.Equals, k.want)
+		})
+	}
+}
+
 // TestVisibleShare guards against overload of a server by nodes that are partitioned from the fleet and each take a full
 // dispatcher's share.
 func TestVisibleShare(t *testing.T) {
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -53,11 +53,16 @@
 	return ""
 }
 
+// servedByFew reports whether the group's servers allow fewer than connectionsPerNode connections per node. n.mu must be held.
+func (n *Node) servedByFew(g bundle.Group) bool {
+	return len(n.members)*connectionsPerNode > g.ConnectionsPerServer
+}
+
 // servingNodes returns the names of the nodes that serve a group: all members if the group's servers allow connectionsPerNode
 // connections from each, and a few of each zone otherwise. It also returns those of them that may promote the group's servers: all,
 // or the stand-ins if there are any. n.mu must be held.
 func (n *Node) servingNodes(g bundle.Group) (names, promoters []string) {
-	if len(n.members)*connectionsPerNode > g.ConnectionsPerServer {
+	if n.servedByFew(g) {
 		dispatchers, standIns := n.dispatchers.Serving(g.Name, n.isSuspect)
 		switch {
 		case len(standIns) > 0:
--- a/internal/fleet/shares.go
+++ b/internal/fleet/shares.go
@@ -175,6 +175,7 @@
 			Slots:  max(minSlots, n.visibleShare(nodes, peer.Share(s.slots*queuedPerSlot, max(1, len(nodes)), rank))),
 			Conns:  max(1, n.visibleShare(nodes, peer.Share(g.ConnectionsPerServer, max(1, len(nodes)), rank))-controlConnections),
 		}
+		limits.MaxSlots = n.maxSlots(g, s, limits.Slots)
 		if n.limits[id] != limits {
 			n.limits[id] = limits
 			l.Post(limits)
@@ -182,6 +183,15 @@
 	}
 }
 
+// maxSlots returns how many of a server's slots this node's lane may use while the server has room: all that the nodes may have
+// together where few nodes serve the group, and 0 for its share alone elsewhere. n.mu must be held.
+func (n *Node) maxSlots(g bundle.Group, s listedServer, share int) int {
+	if !n.servedByFew(g) {
+		return 0
+	}
+	return max(share, n.visibleShare(n.assignments[g.Name].nodes, s.slots*queuedPerSlot))
+}
+
 // visibleShare reduces a node's share in proportion to the part of the fleet that the node considers alive, because the other
 // nodes may serve the group as well. It returns the full share if all live members serve the group and are at least half of the
 // known ones. n.mu must be held.
--- a/internal/traffic/lane.go
+++ b/internal/traffic/lane.go
@@ -94,6 +94,12 @@
 	Running   int    `json:"running"`
 	OpenConns int    `json:"open"`
 	ConnLimit int    `json:"connections"`
+	// Limit is the learned limit of running requests, 0 if the limit is Slots. BaselineMS is the mean of the best recent answer times,
+	// Slowdown how many times longer the latest answers took, and Failing the part of recent work that failed.
+	Limit      float64 `json:"limit"`
+	BaselineMS float64 `json:"baseline_ms"`
+	Slowdown   float64 `json:"slowdown"`
+	Failing    float64 `json:"failing"`
 }
 
 const snapshotInterval = 200 * time.Millisecond
@@ -153,9 +159,14 @@
 	s := Snapshot{Database: l.database, Stats: l.decisions.Stats()}
 	s.Requests, s.Sessions = l.decisions.InFlight()
 	for _, v := range l.decisions.Servers() {
+		learned := caller.Capacity{}
+		if v.Capacity.Max > 0 {
+			learned = v.Capacity
+		}
 		s.Servers = append(s.Servers, ServerSnapshot{
 			Name: v.View.Name, Role: string(v.View.Role), Term: v.View.Term, Alive: v.View.Alive,
 			Leaving: v.View.Leaving, Slots: v.Slots, Running: v.Running, OpenConns: v.OpenConns, ConnLimit: v.ConnLimit,
+			Limit: learned.Limit, BaselineMS: learned.Baseline.Seconds() * 1000, Slowdown: learned.Slowdown, Failing: learned.Failing,
 		})
 	}
 	l.mu.Lock()
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -41,6 +41,12 @@
 		t.Line("server_slots", v.Slots, server...)
 		t.Line("server_connections", v.OpenConns, server...)
 		t.Line("server_connections_limit", v.ConnLimit, server...)
+		if v.Limit > 0 {
+			t.Line("server_limit_learned", v.Limit, server...)
+			t.Line("server_baseline_seconds", v.BaselineMS/1000, server...)
+			t.Line("server_slowdown", v.Slowdown, server...)
+			t.Line("server_failing", v.Failing, server...)
+		}
 		t.Line("server_term", v.Term, server...)
 	}
 }
