--- a/internal/fleet/dispatcher_test.go
+++ b/internal/fleet/dispatcher_test.go
@@ -13,6 +13,7 @@
 
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/standin/metadata"
+	"buckthornport.example/buckthornport/internal/traffic"
 	"buckthornport.example/buckthornport/pkg/bundle"
 )
 
@@ -66,6 +67,13 @@
 	c.Assert(all, qt.HasLen, 0)
 }
 
+// learnsLimits reports whether a node shows a learned limit of a server.
+func learnsLimits(n *Node) bool {
+	return slices.ContainsFunc(n.Status().Lanes, func(l traffic.Snapshot) bool {
+		return slices.ContainsFunc(l.Servers, func(s traffic.ServerSnapshot) bool { return s.Limit > 0 && s.BaselineMS > 0 })
+	})
+}
+
 // TestMoreNodesThanConnections guards against nodes that exhaust a server's few connections, so that other nodes get none.
 func TestMoreNodesThanConnections(t *testing.T) {
 	t.Run("all callers are served", func(t *testing.T) {
@@ -77,6 +85,7 @@
 		before := d.platform.RejectedConnections("books")
 		assertAllServed(c, d, "ledger", "tickets")
 		c.Assert(d.platform.RejectedConnections("books")-before, qt.Equals, 0)
+		c.Assert(slices.ContainsFunc(d.nodes, learnsLimits), qt.IsTrue)
 		assertNoViolations(c, d)
 	})
 }
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -50,6 +50,12 @@
 		return fmt.Sprintf("the promotion to term %d of %s dropped work (%s):%s.", r.Term, r.Group, r.Cause, r.formatEvidence())
 	},
 	KindServer: func(r Record) string {
+		switch r.Cause {
+		case "limit_halved":
+			return fmt.Sprintf("the learned limit of server %s of %s fell to half:%s.", r.Server, r.Group, r.formatEvidence())
+		case "limit_recovered":
+			return fmt.Sprintf("the learned limit of server %s of %s has recovered:%s.", r.Server, r.Group, r.formatEvidence())
+		}
 		return fmt.Sprintf("server %s of %s is %s (%s).", r.Server, r.Group, r.Cause, strings.TrimSpace(r.formatEvidence()))
 	},
 	KindDependency: func(r Record) string {
