--- a/internal/caller/messages.go
+++ b/internal/caller/messages.go
@@ -135,6 +135,8 @@
 	Slots   int
 	Conns   int
 	Retired bool
+	// MaxSlots is what the slots may grow to while the server's answers show that there is room. Zero means that Slots is fixed.
+	MaxSlots int
 }
 
 // DrainStarted reports that the node is draining.
--- a/internal/fleet/dispatcher_test.go
+++ b/internal/fleet/dispatcher_test.go
@@ -13,6 +13,8 @@
 
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/standin/metadata"
+	"buckthornport.example/buckthornport/internal/traffic"
+	"buckthornport.example/buckthornport/pkg/bundle"
 )
 
 // scarceConnections is the connection limit of each server in deployments with many nodes.
@@ -65,6 +67,13 @@
 	c.Assert(all, qt.HasLen, 0)
 }
 
+// learnsLimits reports whether a node shows a learned limit of a server.
+func learnsLimits(n *Node) bool {
+	return slices.ContainsFunc(n.Status().Lanes, func(l traffic.Snapshot) bool {
+		return slices.ContainsFunc(l.Servers, func(s traffic.ServerSnapshot) bool { return s.Limit > 0 && s.BaselineMS > 0 })
+	})
+}
+
 // TestMoreNodesThanConnections guards against nodes that exhaust a server's few connections, so that other nodes get none.
 func TestMoreNodesThanConnections(t *testing.T) {
 	t.Run("all callers are served", func(t *testing.T) {
@@ -76,6 +85,7 @@
 		before := d.platform.RejectedConnections("books")
 		assertAllServed(c, d, "ledger", "tickets")
 		c.Assert(d.platform.RejectedConnections("books")-before, qt.Equals, 0)
+		c.Assert(slices.ContainsFunc(d.nodes, learnsLimits), qt.IsTrue)
 		assertNoViolations(c, d)
 	})
 }
@@ -271,6 +281,23 @@
 	c.Assert(n.suspects, qt.HasLen, 0)
 }
 
+// TestLearnedLimits guards against learned limits where each node serves a group with connections of its own.
+func TestLearnedLimits(t *testing.T) {
+	for _, k := range []struct {
+		name          string
+		members, want int
+	}{
+		{"as many connections as nodes need", 3, 0},
+		{"few connections", 4, 12},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			n := &Node{members: make([]peer.Update, k.members)}
+			g := bundle.Group{Name: "books", ConnectionsPerServer: scarceConnections}
+			qt.Assert(t, n.maxSlots(g, listedServer{group: "books", slots: 4}, 6), qt.Equals, k.want)
+		})
+	}
+}
+
 // TestVisibleShare guards against overload of a server by nodes that are partitioned from the fleet and each take a full
 // dispatcher's share.
 func TestVisibleShare(t *testing.T) {
