A primary that is leaving is replaced under traffic as well

Cause: commits that end as the leaving primary becomes suspect raise the floor above the replicas' last statuses, so that no successor was seen and the suspicion cleared; traffic with the replicas then put off their next status until the primary had gone. Change: replicas of a leaving primary are asked at short intervals, and the suspicion lasts for 1 s although no status covers the floor; a promotion still needs a promise that does.

--- a/internal/upstream/appointed.go
+++ b/internal/upstream/appointed.go
@@ -86,13 +86,18 @@
 }
 
 // hasSuccessor reports whether a replica responds, is not leaving and has reached the floor. While only the primary is known to
-// hold all acknowledged commits, no replica may succeed it.
+// hold all acknowledged commits, no replica may succeed it. Commits that end as a leaving primary becomes suspect raise the floor
+// above the last statuses, which has no effect for a while: the promises show what the replicas hold.
 func (e FailureEvidence) hasSuccessor() bool {
+	outdated := e.Group.Suspect && e.Group.Cause == CausePrimaryLeaving && e.Now-e.Group.SuspectSince < successorGrace
 	return !e.needsPrimary() && slices.ContainsFunc(possibleReplicas(e), func(s Server) bool {
-		return s.Fresh(e.Now, e.Timing.FreshTTL) && !s.IsLeaving() && s.Status.Position.Covers(e.Group.Floor)
+		return s.Fresh(e.Now, e.Timing.FreshTTL) && !s.IsLeaving() && (outdated || s.Status.Position.Covers(e.Group.Floor))
 	})
 }
 
+// successorGrace is how long a leaving primary stays suspect although no status covers the floor. Several probes take less.
+const successorGrace = time.Second
+
 // replicasIdle reports whether no responding replica has received anything for replicaIdleTime, in which a live primary would have
 // sent something. A replica whose status is older than SilenceLimit may have received something since.
 func (e FailureEvidence) replicasIdle() bool {
--- a/internal/upstream/suspect.go
+++ b/internal/upstream/suspect.go
@@ -49,6 +49,10 @@
 		}.WithEvidence("was", g.Cause))
 		g.Suspect = false
 		g.Cause = ""
+		if p, ok := w.servers.Get(g.Primary); ok && w.kind.UsesLeases && p.IsLeaving() {
+			// What clears it is a floor that the last statuses of the replicas do not cover.
+			w.probeGroupSoon(now, g.Name)
+		}
 	case cause != "" && !g.Suspect:
 		g = g.WithSuspicion(now, cause)
 		w.announceFloor(g)
--- a/internal/upstream/watch.go
+++ b/internal/upstream/watch.go
@@ -414,7 +414,7 @@
 		w.kind.UsesLeases && (g.ReplicationStalledSince != 0 || g.NoPrimarySince != 0 || now < g.AlertUntil) {
 		return w.kind.Timing.ShortProbeInterval
 	}
-	if p, ok := w.servers.Get(g.Primary); ok && (p.FirstMissAt != 0 || p.OverdueSince != 0) {
+	if p, ok := w.servers.Get(g.Primary); ok && (p.FirstMissAt != 0 || p.OverdueSince != 0 || w.kind.UsesLeases && p.IsLeaving()) {
 		return w.kind.Timing.ShortProbeInterval
 	}
 	st := s.Status
