Bound the news about members that answer late

A fleet whose machines are busy for a moment kept itself busy: members that answered late were suspected, refuted, declared dead and found again, with three messages for each of these and twelve for each unanswered ping.

In large fleets, urgent gossip about members, requests for indirect pings and samples of members now have a minimum interval, and samples prefer members that were heard of last.

--- a/internal/peer/cost_test.go
+++ b/internal/peer/cost_test.go
@@ -70,8 +70,8 @@
 	return math.Log(large/small) / math.Log(float64(sizes[1])/float64(sizes[0]))
 }
 
-// TestCostOfQuietFleet guards against pings that open a connection each, half of them to the other region, and against gossip that
-// grows with the fleet. The bounds are a quarter of the 8 KB a second that a node may spend for control.
+// TestCostOfQuietFleet guards against pings that open a connection each, half of them to the other region, and against gossip
+// that grows with the fleet. The bounds are a quarter of the 8 KB a second that a node may spend for control.
 func TestCostOfQuietFleet(t *testing.T) {
 	c := qt.New(t)
 	costs := map[int]cost{}
@@ -90,8 +90,8 @@
 	c.Check(growth(small.connections, large.connections, 30, 300) <= 0.3, qt.IsTrue)
 }
 
-// TestCostOfStart guards against a list of members for nearly each message while a node hears of members that have registered after
-// it has read the list: each list costs work that grows with the fleet.
+// TestCostOfStart guards against a list of members for nearly each message while a node hears of members that have registered
+// after it has read the list: each list costs work that grows with the fleet.
 func TestCostOfStart(t *testing.T) {
 	c := qt.New(t)
 	for _, n := range costSizes {
@@ -129,6 +129,30 @@
 	}
 }
 
+// TestBusyStart guards against a fleet whose machines are busy with their start and then with the news of members that answered
+// late, which makes them answer late again: without a bound on that news it never ends.
+func TestBusyStart(t *testing.T) {
+	for _, n := range []int{30, 100, 300} {
+		c := qt.New(t)
+		f := newListedFleet(n, n*2/3, 0)
+		f.work = 60 * ms
+		changes := 0
+		for _, x := range f.nodes {
+			x.busyUntil = f.Now() + time.Duration(f.random.Intn(3000))*ms
+			x.changed = func(peer.MemberChanged) { changes++ }
+		}
+		for range 6 {
+			changes, f.messages, f.bytes = 0, 0, 0
+			f.Run(f.Now() + 5*time.Second)
+			c.Logf("%d nodes, to %v: %.1f changes, %.1f messages and %.0f bytes a second", n, f.Now(), float64(changes)/float64(5*n),
+				float64(f.messages)/float64(5*n), float64(f.bytes)/float64(5*n))
+			c.Check(f.messages <= 10*5*n, qt.IsTrue)
+			c.Check(f.bytes <= 8192*5*n, qt.IsTrue)
+		}
+		c.Check(changes <= n, qt.IsTrue)
+	}
+}
+
 // TestLostNodeInLargeFleet guards against pings of neighbors that find a lost node later than pings of all members in turn.
 func TestLostNodeInLargeFleet(t *testing.T) {
 	for _, n := range []int{30, 300} {
--- a/internal/peer/fleet_test.go
+++ b/internal/peer/fleet_test.go
@@ -37,7 +37,9 @@
 	bytes       int
 	// delay is added to the time that each message takes, and sent is called for each message.
 	delay time.Duration
-	sent  func(from *node, a peer.Send)
+	// work is how long a node is busy with each message that it receives.
+	work time.Duration
+	sent func(from *node, a peer.Send)
 	// acceptOlder disables the version check, so that nodes accept older bundles.
 	acceptOlder bool
 	// reverted counts bundles that replaced a newer one.
@@ -52,7 +54,9 @@
 	members *peer.Membership
 	alive   bool
 	steps   int
-	version uint64
+	// busyUntil is the time until which the node is busy. What arrives or is due before waits.
+	busyUntil time.Duration
+	version   uint64
 	// versionSince is when the node accepted its bundle version.
 	versionSince time.Duration
 	incarnation  uint64
@@ -117,12 +121,29 @@
 		x.perform(a)
 	}
 	x.f.After(max(0, wake-x.f.Now()), func() {
-		if x.steps == step && x.incarnation == incarnation {
-			x.step()
-		}
+		x.whenFree(func() {
+			if x.steps == step && x.incarnation == incarnation {
+				x.step()
+			}
+		})
 	})
 }
 
+// whenFree calls f now, or once the node is no longer busy.
+func (x *node) whenFree(f func()) {
+	if wait := x.busyUntil - x.f.Now(); wait > 0 {
+		x.f.After(wait, f)
+		return
+	}
+	f()
+}
+
+// receive handles a message, which takes the fleet's work.
+func (x *node) receive(m peer.Message) {
+	x.busyUntil = max(x.busyUntil, x.f.Now()) + x.f.work
+	x.whenFree(func() { x.step(peer.MessageReceived{Message: m}) })
+}
+
 func (x *node) perform(a peer.Action) {
 	switch a := a.(type) {
 	case peer.Send:
@@ -131,7 +152,7 @@
 		x.f.bytes += 40 + 30*len(a.Message.Updates) + 30*len(a.Message.Routes) + len(a.Message.Bundle)
 		for _, o := range x.f.nodes {
 			if o.name == a.To && !x.f.partitioned(x, o) && x.f.random.Float64() >= x.f.loss {
-				x.f.After(x.f.delay+time.Duration(1+x.f.random.Intn(9))*ms, func() { o.step(peer.MessageReceived{Message: a.Message}) })
+				x.f.After(x.f.delay+time.Duration(1+x.f.random.Intn(9))*ms, func() { o.receive(a.Message) })
 			}
 		}
 	case peer.OfferBundle:
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -21,7 +21,7 @@
 // less often: many may join at once, nodes also read of them in the list, and digests find what is missing.
 func (m *Membership) retransmissions(r broadcast) int {
 	n := 1 + bits.Len(uint(len(m.pingOrder)))
-	if m.large && r.update.Name != "" && r.update.Name != m.self.Name && r.update.State == StateAlive {
+	if m.large && r.joined {
 		return n
 	}
 	return retransmitFactor * n
@@ -43,7 +43,7 @@
 		listed[u.Name] = true
 	}
 	m.broadcasts = slices.DeleteFunc(m.broadcasts, func(r broadcast) bool {
-		return listed[r.update.Name] && r.update.State == StateAlive
+		return r.joined && listed[r.update.Name]
 	})
 }
 
@@ -129,13 +129,16 @@
 
 // gossip sends the queued broadcasts to gossipFanout members if gossipNow is set, without waiting for the next ping.
 func (m *Membership) gossip(now time.Duration) {
-	if !m.gossipNow || now < m.nextGossipAt {
+	if m.memberNews && (!m.large || m.newsAllowance.take(now, newsInterval)) {
+		m.gossipNow, m.memberNews = true, false
+	}
+	if m.refuted && (!m.large || m.refuteAllowance.take(now, refuteInterval)) {
+		m.gossipNow, m.refuted = true, false
+	}
+	if !m.gossipNow {
 		return
 	}
 	m.gossipNow = false
-	if m.large {
-		m.nextGossipAt = now + gossipInterval
-	}
 	for _, k := range m.chooseMembers(gossipFanout, "") {
 		m.send(k, m.message(KindGossip, 0))
 	}
@@ -171,20 +174,23 @@
 			m.removeMember(k)
 		case r.State == StateSuspect && now-r.StateSince >= DeadAfter:
 			m.change(r, r.WithState(now, StateDead, r.Incarnation))
-			m.gossipNow = true
+			m.memberNews = true
 		case r.State == StateSuspect:
 			m.members.SetDue(k, r.StateSince+DeadAfter)
 		case r.PendingPing != 0 && now-r.PingSentAt >= m.suspectAfter():
 			m.change(r, r.WithState(now, StateSuspect, r.Incarnation))
 		case r.PendingPing != 0 && !r.IndirectPing:
-			m.requestIndirectPings(k, r)
+			m.requestIndirectPings(now, k, r)
 		}
 	}
 }
 
-func (m *Membership) requestIndirectPings(k string, r Member) {
+func (m *Membership) requestIndirectPings(now time.Duration, k string, r Member) {
 	m.members.Put(k, r.WithIndirectPing())
 	m.members.SetDue(k, r.PingSentAt+m.suspectAfter())
+	if m.large && !m.indirectAllowance.take(now, indirectInterval) {
+		return
+	}
 	for _, o := range m.chooseMembers(gossipFanout, k) {
 		g := m.message(KindPingRequest, r.PendingPing)
 		g.Target = k
@@ -198,8 +204,8 @@
 	m.membersChanged = true
 }
 
-// publishMembers reports a changed list of members. In a large fleet it does so at intervals: each list costs work that grows with
-// the fleet, and while many nodes start, nearly every message changes the list.
+// publishMembers reports a changed list of members. In a large fleet it does so at intervals: each list costs work that grows
+// with the fleet, and while many nodes start, nearly every message changes the list.
 func (m *Membership) publishMembers(now time.Duration) {
 	if !m.membersChanged || now < m.nextPublishAt {
 		return
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -41,12 +41,13 @@
 	routes     *table.Table[string, Route]
 	broadcasts []broadcast
 	pingOrder  []string
+	// recent holds the members of which other nodes have told this one last.
+	recent     []string
 	nextIndex  int
 	pingCount  int
 	seq        uint64
 	nextPingAt time.Duration
-	// nextGossipAt and nextPublishAt are the earliest times of the next urgent gossip and of the next list of members.
-	nextGossipAt  time.Duration
+	// nextPublishAt is the earliest time of the next list of members.
 	nextPublishAt time.Duration
 	// large is set while the fleet has more than maxSmallFleet live members. Its neighbors then get most of the pings, and
 	// neighborIndex is the next of them.
@@ -56,6 +57,8 @@
 	region        func(zone string) string
 	// roundTrip is the smoothed time between a ping and its ack.
 	roundTrip time.Duration
+	// now is the time of the current step.
+	now time.Duration
 	// wakeAt is the time by which Step is called next, and judgeFrom that from which on members may become suspect or dead.
 	wakeAt      time.Duration
 	judgeFrom   time.Duration
@@ -67,11 +70,16 @@
 	membersChanged bool
 	// vmsListed reports whether the platform's VM list has been received.
 	vmsListed bool
-	// gossipNow requests a gossip message in this step, without waiting for the next ping.
-	gossipNow    bool
-	relayedPings map[uint64]relayedPing
-	random       func(n int) int
-	actions      []Action
+	// gossipNow requests a gossip message in this step, without waiting for the next ping. memberNews requests one because a
+	// member is dead, refuted because this node was reported as suspect or dead.
+	gossipNow  bool
+	memberNews bool
+	refuted    bool
+	// These bound the messages that a large fleet exchanges about members that do not answer.
+	newsAllowance, refuteAllowance, indirectAllowance, sampleAllowance allowance
+	relayedPings                                                       map[uint64]relayedPing
+	random                                                             func(n int) int
+	actions                                                            []Action
 }
 
 // broadcast is an update or a route that is still to be sent in the given number of messages.
@@ -79,6 +87,8 @@
 	update    Update
 	route     Route
 	remaining int
+	// joined is set if the update is the first about a member.
+	joined bool
 }
 
 // relayedPing names the node that requested a ping, and the sequence number of its request.
@@ -138,7 +148,7 @@
 
 // Step applies the events since the last step. It returns the resulting actions, and the time by which Step must be called again.
 func (m *Membership) Step(now time.Duration, es []Event) ([]Action, time.Duration) {
-	m.actions = nil
+	m.actions, m.now = nil, now
 	m.detectOwnDelay(now)
 	for _, e := range es {
 		m.apply(now, e)
@@ -154,8 +164,11 @@
 // nextStepAt returns the time by which Step must be called again.
 func (m *Membership) nextStepAt() time.Duration {
 	at := min(m.nextPingAt, m.members.NextDue())
-	if m.gossipNow {
-		at = min(at, m.nextGossipAt)
+	if m.memberNews {
+		at = min(at, m.newsAllowance.next)
+	}
+	if m.refuted {
+		at = min(at, m.refuteAllowance.next)
 	}
 	if m.membersChanged {
 		at = min(at, m.nextPublishAt)
@@ -287,7 +300,7 @@
 	if g.Version < m.bundleVersion {
 		a.Bundle = m.bundle
 	}
-	if g.Members != m.membersDigest() {
+	if g.Members != m.membersDigest() && (!m.large || m.sampleAllowance.take(m.now, sampleInterval)) {
 		a.Updates = append(a.Updates, m.sampleMembers()...)
 	}
 	if g.Digest != m.routeDigest && !g.All {
@@ -308,21 +321,6 @@
 	return m.othersDigest ^ m.self.hash()
 }
 
-// sampleMembers returns up to maxMembersPerMessage members that are not dead, from a random start in the ping order.
-func (m *Membership) sampleMembers() []Update {
-	var us []Update
-	if len(m.pingOrder) == 0 {
-		return nil
-	}
-	start := m.random(len(m.pingOrder))
-	for i := range min(maxMembersPerMessage, len(m.pingOrder)) {
-		if r, ok := m.members.Get(m.pingOrder[(start+i)%len(m.pingOrder)]); ok && r.State != StateDead {
-			us = append(us, r.update())
-		}
-	}
-	return us
-}
-
 // receiveAck applies an ack, forwards it if the ping was relayed for another node, and sends the data that the sender lacks.
 func (m *Membership) receiveAck(now time.Duration, g Message) {
 	if r, ok := m.members.Get(g.Target); ok && r.PendingPing == g.Seq {
@@ -370,14 +368,15 @@
 		if u.State > m.self.State && u.Incarnation >= m.self.Incarnation {
 			m.self.Incarnation = u.Incarnation + 1
 			m.queueBroadcast(broadcast{update: m.self})
-			m.gossipNow = true
+			m.refuted = true
 		}
 		return
 	}
 	r, known := m.members.Get(u.Name)
 	switch {
 	case !known:
-		m.queueBroadcast(broadcast{update: m.add(now, u).update()})
+		m.recent = append(m.recent[max(0, len(m.recent)+1-maxRecentMembers):], u.Name)
+		m.queueBroadcast(broadcast{update: m.add(now, u).update(), joined: u.State == StateAlive})
 	case overrides(u, r):
 		next := r.WithState(now, u.State, u.Incarnation)
 		next.Zone, next.Address = u.Zone, u.Address
@@ -424,8 +423,8 @@
 	}
 }
 
-// learnRoute stores and broadcasts a route with a higher term or floor. With fromPeer set, it also reports the route to this node's
-// watch.
+// learnRoute stores and broadcasts a route with a higher term or floor. With fromPeer set, it also reports the route to this
+// node's watch.
 func (m *Membership) learnRoute(r Route, fromPeer bool) {
 	old, _ := m.routes.Get(r.Group)
 	if r = old.merged(r); r == old {
--- a/internal/peer/neighbors.go
+++ b/internal/peer/neighbors.go
@@ -13,8 +13,15 @@
 	// instead of a neighbor. Every remotePingEvery pings, that member may be one of another region.
 	orderedPingEvery = 4
 	remotePingEvery  = 8
-	// gossipInterval is the minimum time between two urgent gossip messages in a large fleet.
-	gossipInterval = 50 * time.Millisecond
+	// These are the minimum times between two urgent gossip messages about dead members, two of a node about itself, two requests
+	// for indirect pings and two samples of the members in a large fleet. Without these bounds, a fleet of busy machines sends ten
+	// times its usual messages about members that answer late, and stays busy with them.
+	newsInterval     = time.Second
+	refuteInterval   = 250 * time.Millisecond
+	indirectInterval = time.Second
+	sampleInterval   = 200 * time.Millisecond
+	// maxRecentMembers bounds the members that are remembered as told last.
+	maxRecentMembers = 256
 	// publishIntervalPerMember and maxPublishInterval bound the time between two lists of members in a large fleet.
 	publishIntervalPerMember = 3 * time.Millisecond
 	maxPublishInterval       = time.Second
@@ -41,6 +48,20 @@
 	}
 }
 
+// allowance bounds how often something is done. next is the time from which on it may be done again.
+type allowance struct {
+	next time.Duration
+}
+
+// take reports whether it may be done now, and if so starts the interval until the next time.
+func (a *allowance) take(now, interval time.Duration) bool {
+	if now < a.next {
+		return false
+	}
+	a.next = now + interval
+	return true
+}
+
 // chooseNeighbors decides whether the fleet is large, and then chooses the members that get most of the pings among the live
 // members. They are the node's successors in its region: each member is the neighbor of as many nodes, so that it is pinged as
 // often as by nodes that ping all members in turn. As the neighbors stay the same, the connections to them stay open.
@@ -107,3 +128,25 @@
 	}
 	return max(SuspectAfter, min(suspectRoundTrips*m.roundTrip, maxSuspectAfter))
 }
+
+// sampleMembers returns up to maxMembersPerMessage members that are not dead: half of them from those of which other nodes have
+// told this one last, since a receiver with another digest is likely to lack one of these, and the others from the ping order,
+// each from a random start.
+func (m *Membership) sampleMembers() []Update {
+	us := m.sample(m.recent, maxMembersPerMessage/2)
+	return append(us, m.sample(m.pingOrder, maxMembersPerMessage-len(us))...)
+}
+
+func (m *Membership) sample(names []string, count int) []Update {
+	if len(names) == 0 {
+		return nil
+	}
+	var us []Update
+	start := m.random(len(names))
+	for i := range min(count, len(names)) {
+		if r, ok := m.members.Get(names[(start+i)%len(names)]); ok && r.State != StateDead {
+			us = append(us, r.update())
+		}
+	}
+	return us
+}
