Reuse the writers that compress rows

Each message with rows of 1 KB or more allocated a new DEFLATE writer, 1.2 MB, which is a garbage collection on a node with a small heap, for each receiver of the same rows.

--- a/internal/peerlink/tables.go
+++ b/internal/peerlink/tables.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -84,16 +85,25 @@
 	return t, nil
 }
 
+// compressors holds writers for reuse, as a new one allocates more than a megabyte.
+var compressors sync.Pool
+
 func compress(raw []byte) ([]byte, error) {
 	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
-	if err != nil {
-		return nil, err
+	w, ok := compressors.Get().(*flate.Writer)
+	if ok {
+		w.Reset(&b)
+	} else {
+		var err error
+		if w, err = flate.NewWriter(&b, flate.BestSpeed); err != nil {
+			return nil, err
+		}
 	}
+	defer compressors.Put(w)
 	if _, err := w.Write(raw); err != nil {
 		return nil, err
 	}
-	err = w.Close()
+	err := w.Close()
 	return b.Bytes(), err
 }
 
