Limits: parts of a divided fleet lend their shares

Change: a part with more than two thirds of the known nodes lends the whole rate, a part from a third on the share of its nodes, a smaller one next to nothing as before; together they never lend more than the rate.

--- a/internal/tenant/homes.go
+++ b/internal/tenant/homes.go
@@ -27,10 +27,17 @@
 	// lostAt is when most witnesses were lost, table.Never while they are not. fallback is set once others have taken their place.
 	lostAt   time.Duration
 	fallback bool
+	// share is the part of tenants' rates that may be lent under leases. It is raised at raiseAt. shared is set once it was above
+	// zero.
+	share   float64
+	raiseAt time.Duration
+	shared  bool
 }
 
 func newHomes(self string) *homes {
-	return &homes{self: self, refused: map[string]time.Duration{}, rankings: map[string][]string{}, lostAt: table.Never}
+	return &homes{
+		self: self, refused: map[string]time.Duration{}, rankings: map[string][]string{}, lostAt: table.Never, raiseAt: table.Never,
+	}
 }
 
 func (h *homes) update(now time.Duration, e MembersChanged) {
@@ -50,6 +57,7 @@
 	case h.lostAt == table.Never:
 		h.lostAt = now
 	}
+	h.updateShare(now)
 }
 
 // fallbackAt returns when others take the place of lost witnesses, or table.Never.
@@ -95,9 +103,32 @@
 	return names, (4*len(names) + 4) / 5
 }
 
-// majority reports whether more than half of the known nodes answer.
-func (h *homes) majority() bool {
-	return h.members.Complete && 2*h.members.Alive > h.members.Known
+// visibleShare returns the part of tenants' rates that the homes which the node sees may lend together: all of it if more than two
+// thirds of the fleet answer, the part that answers if it is at least a third, and otherwise nothing. Over all parts of a divided
+// fleet this is at most the whole rate.
+func (h *homes) visibleShare() float64 {
+	switch alive, known := h.members.Alive, h.members.Known; {
+	case !h.members.Complete || 3*alive < known:
+		return 0
+	case 3*alive > 2*known:
+		return 1
+	default:
+		return h.aliveShare()
+	}
+}
+
+// updateShare lowers the share at once, and raises it once it has been higher for fallbackDelay: the other part of a divided fleet
+// may not have noticed yet that the parts are one again. The first share counts at once.
+func (h *homes) updateShare(now time.Duration) {
+	v := h.visibleShare()
+	switch {
+	case v <= h.share || !h.shared && v > 0:
+		h.share, h.raiseAt, h.shared = v, table.Never, h.shared || v > 0
+	case h.raiseAt == table.Never:
+		h.raiseAt = now + fallbackDelay
+	case now >= h.raiseAt:
+		h.share, h.raiseAt = v, table.Never
+	}
 }
 
 // aliveShare returns the part of the known nodes that answer.
--- a/internal/tenant/leases.go
+++ b/internal/tenant/leases.go
@@ -98,7 +98,7 @@
 	for _, name := range l.buckets.Keys() {
 		if b, _ := l.buckets.Get(name); b.mine {
 			mine = append(mine, name)
-			if now >= b.leasedUntil && l.homes.majority() {
+			if now >= b.leasedUntil && l.homes.share > 0 {
 				interval = retryInterval
 			}
 		}
@@ -118,10 +118,10 @@
 	}
 }
 
-// confirm answers a home that asks for leases. A node confirms only while it sees more than half of the fleet, and only a home that
-// agrees with it on whether the witnesses are lost.
+// confirm answers a home that asks for leases. A node confirms only while it sees a third of the fleet, and only a home that agrees
+// with it on whether the witnesses are lost.
 func (l *Ledger) confirm(now time.Duration, from string, m Message) {
-	agrees := m.Fallback == l.homes.fallback && l.homes.majority()
+	agrees := m.Fallback == l.homes.fallback && l.homes.share > 0
 	given := l.leases.promise(now, from, m, agrees)
 	if len(given) > 0 {
 		l.emit(Send{To: from, Message: Message{Kind: KindGiveLease, Seq: m.Seq, Tenants: given}})
--- a/internal/tenant/ledger.go
+++ b/internal/tenant/ledger.go
@@ -43,11 +43,11 @@
 	}
 }
 
-// refill returns how buckets are refilled at present. While the node sees more than half of the fleet, it lends only under a lease.
-// Otherwise it lends its share of a small rate, which needs no agreement.
+// refill returns how buckets are refilled at present. A node that sees less than a third of the fleet lends its share of a small
+// rate, which needs no lease.
 func (l *Ledger) refill() refill {
-	if l.homes.majority() {
-		return refill{leased: true}
+	if l.homes.share > 0 {
+		return refill{share: l.homes.share}
 	}
 	share := l.homes.aliveShare()
 	return refill{low: l.bounds.slackShare() * share, slow: l.bounds.Tolerance / dividedShares * share}
@@ -185,12 +185,8 @@
 	if n == k.Need {
 		g.Credit += max(0, more)
 	} else {
-		g.Unready = r.leased && (now >= b.leasedUntil || now < b.fullAt)
-		rate := b.limit.Rate
-		if !r.leased {
-			rate *= r.slow
-		}
-		ms := math.Ceil((float64(n) + 1 - b.tokens) / rate * 1e3)
+		g.Unready = r.share > 0 && (now >= b.leasedUntil || now < b.fullAt)
+		ms := math.Ceil((float64(n) + 1 - b.tokens) / (b.limit.Rate * max(r.share, r.slow)) * 1e3)
 		g.RetryAfter = time.Duration(min(ms, maxRefusalMS)) * time.Millisecond
 	}
 	l.buckets.Put(k.Tenant, b.withLent(now, g.Credit, l.bounds.Lifetime()))
--- a/internal/tenant/ledger_rows.go
+++ b/internal/tenant/ledger_rows.go
@@ -39,31 +39,35 @@
 // time that filling it takes: by then what waited for the new home is admitted.
 const maxFillTime = 2 * time.Second
 
-// refill holds how a bucket is refilled. Without a lease that counts it tends towards the low level: it loses tokens at the rate of
-// the tenant, since another home may gain them at that rate, and gains them at a part of the rate.
+// refill holds how buckets are refilled. Under a lease, a bucket tends towards share of its capacity: below, it gains tokens at
+// share of the tenant's rate, above, it loses them at the rest, which the home in another part of the fleet may gain. Without a
+// lease it tends towards low: it loses tokens at the rate, and gains them at slow of it.
 type refill struct {
-	// leased is set if a lease counts.
-	leased bool
-	low    float64
-	slow   float64
+	share float64
+	low   float64
+	slow  float64
 }
 
 // withTime returns the bucket as of now.
 func (b bucket) withTime(now time.Duration, r refill) bucket {
-	if until := min(now, b.leasedUntil); r.leased && until > b.at {
-		b.tokens = min(b.capacity, b.tokens+b.limit.Rate*(until-b.at).Seconds())
-		b.at = until
+	if r.share > 0 {
+		b = b.towards(min(now, b.leasedUntil), r.share*b.capacity, r.share, 1-r.share)
 	}
-	if now > b.at {
-		s := (now - b.at).Seconds()
-		low := min(b.capacity, r.low)
-		if b.tokens > low {
-			b.tokens = max(low, b.tokens-b.limit.Rate*s)
-		} else {
-			b.tokens = min(low, b.tokens+r.slow*b.limit.Rate*s)
-		}
-		b.at = now
+	return b.towards(now, min(b.capacity, r.low), r.slow, 1)
+}
+
+// towards returns the bucket at a time until which it has gained and lost tokens at the given parts of the rate, towards a level.
+func (b bucket) towards(at time.Duration, level, gain, loss float64) bucket {
+	if at <= b.at {
+		return b
+	}
+	rated := b.limit.Rate * (at - b.at).Seconds()
+	if b.tokens > level {
+		b.tokens = max(level, b.tokens-loss*rated)
+	} else {
+		b.tokens = min(level, b.tokens+gain*rated)
 	}
+	b.at = at
 	return b
 }
 
--- a/internal/tenant/limiter.go
+++ b/internal/tenant/limiter.go
@@ -123,6 +123,10 @@
 
 // expireHomes returns to the homes that refused a connection a while ago, and replaces lost witnesses.
 func (l *Limiter) expireHomes(now time.Duration) {
+	if now >= l.homes.raiseAt {
+		l.ledger.bringUpToDate(now)
+		l.homes.updateShare(now)
+	}
 	if now >= l.homes.fallbackAt() {
 		l.ledger.bringUpToDate(now)
 		l.homes.fallback = true
@@ -137,7 +141,7 @@
 }
 
 func (l *Limiter) nextHomeDue() time.Duration {
-	next := l.homes.fallbackAt()
+	next := min(l.homes.fallbackAt(), l.homes.raiseAt)
 	for _, until := range l.homes.refused {
 		next = min(next, until)
 	}
@@ -160,9 +164,9 @@
 		l.ledger.changeLimits(now, e)
 	case MembersChanged:
 		l.ledger.bringUpToDate(now)
-		divided := l.homes.members.Complete && !l.homes.majority()
+		divided := l.homes.members.Complete && l.homes.share == 0
 		l.homes.update(now, e)
-		if divided && l.homes.majority() {
+		if divided && l.homes.share > 0 {
 			l.ledger.leases.silentUntil = now + fallbackDelay
 		}
 		l.ledger.updateQuorums(now)
--- a/internal/tenant/limiter_test.go
+++ b/internal/tenant/limiter_test.go
@@ -127,6 +127,12 @@
 			w.cut = func(a, b *node) bool { return (a == home) != (b == home) }
 		}, 650},
 		{"a third is cut off", func(w *world, _ *node) { w.cut = func(a, b *node) bool { return (a.index < 6) != (b.index < 6) } }, 400},
+		{"half is cut off", func(w *world, _ *node) { w.cut = func(a, b *node) bool { return (a.index < 9) != (b.index < 9) } }, 600},
+		{"half is lost", func(w *world, _ *node) {
+			for _, n := range w.nodes[:9] {
+				n.kill()
+			}
+		}, 300},
 		{"the home is cut off from a third", func(w *world, home *node) {
 			w.cut = func(a, b *node) bool { return a == home && b.index < 6 || b == home && a.index < 6 }
 		}, 600},
