Limits: tests of shares in a divided fleet

Cause: the tests passed with the loss above a part's share taken out, and with a share that is raised at once (trials). Change: one subtest for each rule.

--- a/internal/tenant/leases_test.go
+++ b/internal/tenant/leases_test.go
@@ -84,6 +84,23 @@
 		n := lend(c, home, 6700*ms, 1, ask)
 		c.Assert(n >= 10 && n <= 60, qt.IsTrue, qt.Commentf("%d", n))
 	})
+	part := func(alive int) tenant.Event {
+		return tenant.MembersChanged{Homes: []string{"a"}, Witnesses: []string{"a", "b", "c"}, Alive: alive, Known: 4, Complete: true}
+	}
+	t.Run("a part of the fleet keeps its share of the bucket", func(t *testing.T) {
+		c := qt.New(t)
+		home, _ := newHome()
+		home.Step(5*time.Second, []tenant.Event{part(2)})
+		c.Assert(lend(c, home, 6*time.Second, 1, ask), qt.Equals, 50)
+	})
+	t.Run("the rate is raised after the other part knows as well", func(t *testing.T) {
+		c := qt.New(t)
+		home, _ := newHome()
+		home.Step(5*time.Second, []tenant.Event{part(2)})
+		lend(c, home, 5*time.Second, 1, ask)
+		home.Step(5200*ms, []tenant.Event{part(4)})
+		c.Assert(lend(c, home, 6*time.Second, 2, ask), qt.Equals, 50)
+	})
 	t.Run("a confirmation from before the tenant was given up does not count", func(t *testing.T) {
 		c := qt.New(t)
 		home, seq := newHome()
