--- a/internal/tenant/ledger.go
+++ b/internal/tenant/ledger.go
@@ -10,9 +10,8 @@
 const (
 	// bucketTimeout is how long the bucket of a tenant is kept after the node was last its home.
 	bucketTimeout = 10 * time.Second
-	// dividedPart is the part of its share of a tenant's rate at which a part of a divided fleet lends that sees half of the nodes at
-	// most. The other part leaves that share to it.
-	dividedPart = 0.5
+	// dividedShares is into how many parts the tolerance is divided. All parts of a divided fleet together lend at one of them.
+	dividedShares = 4
 	// maxRefusalMS bounds the time until the next token that a home tells, in milliseconds.
 	maxRefusalMS = 5000
 )
@@ -44,15 +43,14 @@
 	}
 }
 
-// refill returns how buckets are refilled at present. While the node sees more than half of the fleet, it lends only under a lease,
-// and leaves the parts of the nodes that it does not see to them, since these may be cut off and go on.
-// Otherwise it lends its share of a small rate, which needs no agreement.
+// refill returns how buckets are refilled at present. A node that sees less than a third of the fleet lends its share of a small
+// rate, which needs no lease.
 func (l *Ledger) refill() refill {
-	if l.homes.majority() {
-		return refill{leased: true, part: l.homes.aliveShare()}
+	if l.homes.share > 0 {
+		return refill{share: l.homes.share}
 	}
 	share := l.homes.aliveShare()
-	return refill{low: l.bounds.slackShare() * share, slow: dividedPart * share}
+	return refill{low: l.bounds.slackShare() * share, slow: l.bounds.Tolerance / dividedShares * share}
 }
 
 // bringUpToDate refills all buckets. It is called before what the refill depends on changes.
@@ -187,12 +185,8 @@
 	if n == k.Need {
 		g.Credit += max(0, more)
 	} else {
-		g.Unready = r.leased && (now >= b.leasedUntil || now < b.fullAt)
-		rate := b.limit.Rate
-		if !r.leased {
-			rate *= r.slow
-		}
-		ms := math.Ceil((float64(n) + 1 - b.tokens) / rate * 1e3)
+		g.Unready = r.share > 0 && (now >= b.leasedUntil || now < b.fullAt)
+		ms := math.Ceil((float64(n) + 1 - b.tokens) / (b.limit.Rate * max(r.share, r.slow)) * 1e3)
 		g.RetryAfter = time.Duration(min(ms, maxRefusalMS)) * time.Millisecond
 	}
 	l.buckets.Put(k.Tenant, b.withLent(now, g.Credit, l.bounds.Lifetime()))
