--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -32,6 +32,9 @@
 	// of the work for other nodes.
 	Cores    float64 `json:"cores"`
 	LogLevel string  `json:"log_level"`
+	// MemoryMB and MaxFDs bound what callers can make the process use.
+	MemoryMB int `json:"memory_mb"`
+	MaxFDs   int `json:"max_fds"`
 }
 
 // DefaultGraceMS is the time in milliseconds from SIGTERM to the end of a node on the platform.
@@ -59,6 +62,7 @@
 		checkAddress(d, fmt.Sprintf("seeds[%d]", i), v, true)
 	}
 	checkChoice(d, "log_level", f.LogLevel, logLevels)
+	checkResources(d, f.MemoryMB, f.MaxFDs)
 	if f.Cores <= 0 {
 		d.AddError("cores", "is not a positive number", "want a number of processor cores above zero")
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,9 @@
 	Policy           string `json:"policy"`
 	LogLevel         string `json:"log_level"`
 	DrainMS          int    `json:"drain_ms"`
+	// MemoryMB and MaxFDs bound what callers can make the process use.
+	MemoryMB int `json:"memory_mb"`
+	MaxFDs   int `json:"max_fds"`
 }
 
 // Peer is another proxy of the deployment.
@@ -60,6 +63,7 @@
 	checkAddresses(d, p)
 	checkChoices(d, p)
 	checkKeys(d, p)
+	checkResources(d, p.MemoryMB, p.MaxFDs)
 	return p, d.Err()
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -34,6 +34,8 @@
 			`.*certificate and its key must be set together.*`,
 		},
 		{"duplicate key", `"zone": "z0",`, `"zone": "z0", "zone": "z1",`, `x:4:17: zone: key given twice; keep one of them`},
+		{"little memory", `"zone": "z0",`, `"zone": "z0", "memory_mb": 4,`, `.*memory_mb: is too small; want 0 .* or at least 48 MB`},
+		{"few descriptors", `"zone": "z0",`, `"zone": "z0", "max_fds": 4,`, `.*max_fds: is too small; want 0 .* or at least 300`},
 		{"unknown policy", `"zone": "z0",`, `"zone": "z0", "policy": "best",`, `.*want one of \[ours fifo\]`},
 	} {
 		t.Run(k.name, func(t *testing.T) {
