Callers of the line protocol stay within the memory and descriptors of the machine

Nothing bounded what callers made a node hold: large messages at once, answers that nobody reads, session values and prepared names, connections that never finish their startup. A caller that did not read kept a server's connection for up to 10 s, and a session with more than 8 MiB of values closed the link to its dispatcher for all callers.

internal/budget decides from memory_mb and max_fds: wait, then refuse, then close the connection without progress that holds the most. Answers are written without waiting; the rest goes out beside the server's connection. A caller that sends ahead pauses after a refusal. Each closing has a record of kind connection and counts in connections_closed_total by reason.

--- a/cmd/buckthornport-fleet/main.go
+++ b/cmd/buckthornport-fleet/main.go
@@ -24,8 +24,10 @@
 const (
 	// gcPercent is below Go's default of 100: a smaller heap costs some processor time, and the platform charges for peak memory.
 	gcPercent = 40
-	// memoryLimitBytes is the runtime's soft memory limit. The garbage collector runs more often as memory use approaches it.
+	// memoryLimitBytes is the least of the runtime's soft memory limit. The garbage collector runs more often as memory use approaches it.
 	memoryLimitBytes = 24 << 20
+	// memoryLimitPercent is the part of the machine's memory at which the limit is set otherwise. The rest is for stacks and the kernel.
+	memoryLimitPercent = 50
 )
 
 type cli struct {
@@ -54,6 +56,7 @@
 	if err != nil || c.Check {
 		return err
 	}
+	debug.SetMemoryLimit(max(memoryLimitBytes, int64(s.Memory())<<20/100*memoryLimitPercent))
 	level, err := zap.ParseAtomicLevel(s.LogLevel)
 	if err != nil {
 		return trace.Wrap(err)
--- /dev/null
+++ b/internal/budget/table_test.go
@@ -0,0 +1,179 @@
+package budget
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"buckthornport.example/buckthornport/internal/table"
+	"buckthornport.example/buckthornport/internal/tick"
+)
+
+var testLimits = Limits{
+	Bytes: 100, State: 50, Conns: [Classes]int64{2, 2, 2}, Wait: time.Second, Stall: 2 * time.Second, Grace: time.Second, Pace: 1,
+}
+
+// tableTest is a table whose granted bytes count as used.
+type tableTest struct {
+	c    *qt.C
+	t    *Table
+	used Usage
+}
+
+func newTableTest(c *qt.C) *tableTest {
+	h := &tableTest{c: c}
+	h.t = NewTable(testLimits, func() Usage { return h.used })
+	return h
+}
+
+// hold gives a connection bytes.
+func (h *tableTest) hold(at time.Duration, e Changed) {
+	h.used.Bytes += e.Bytes + e.State
+	h.used.State += e.State
+	h.assertStep(at, table.Never, []Event{e})
+}
+
+func (h *tableTest) assertStep(at, next time.Duration, es []Event, want ...Action) {
+	h.c.Helper()
+	as, wake := h.t.Step(at, es)
+	h.c.Assert(as, qt.DeepEquals, want)
+	h.c.Assert(wake, qt.Equals, next)
+}
+
+// TestMemory guards against a connection that is closed before others have waited, or that keeps memory which others wait for.
+func TestMemory(t *testing.T) {
+	t.Run("a request waits, is granted when another connection releases, and in its order", func(t *testing.T) {
+		h := newTableTest(qt.New(t))
+		h.hold(0, Changed{ID: 1, Bytes: 80})
+		h.assertStep(0, time.Second, []Event{Asked{ID: 2, Bytes: 60}, Asked{ID: 3, Bytes: 10}})
+		h.used.Bytes = 0
+		h.assertStep(1, table.Never, []Event{Changed{ID: 1, Bytes: -80}}, Grant{ID: 2, Bytes: 60}, Grant{ID: 3, Bytes: 10})
+	})
+	t.Run("a request is refused while the others make progress", func(t *testing.T) {
+		h := newTableTest(qt.New(t))
+		h.hold(0, Changed{ID: 1, Bytes: 80})
+		h.assertStep(0, time.Second, []Event{Asked{ID: 2, Bytes: 60}})
+		h.assertStep(time.Second, table.Never, nil, Refuse{ID: 2})
+	})
+	t.Run("the connection without progress that holds the most is closed, and no further one", func(t *testing.T) {
+		h := newTableTest(qt.New(t))
+		h.hold(0, Changed{ID: 1, Bytes: 30})
+		h.hold(0, Changed{ID: 2, Bytes: 40})
+		h.hold(time.Second, Changed{ID: 3, Bytes: 30})
+		at := 2 * time.Second
+		h.assertStep(at, 3*time.Second, []Event{Asked{ID: 4, Bytes: 35}}, Close{ID: 2, Reason: ReasonMemory, Held: 40})
+		h.assertStep(at+1, 3*time.Second, nil)
+		h.used.Bytes -= 40
+		h.assertStep(at+2, table.Never, []Event{Changed{ID: 2, Bytes: -40}}, Grant{ID: 4, Bytes: 35})
+	})
+	t.Run("session state is claimed from the session that keeps far more, and refused otherwise", func(t *testing.T) {
+		h := newTableTest(qt.New(t))
+		h.hold(0, Changed{ID: 1, State: 45})
+		h.assertStep(0, table.Never, []Event{Asked{ID: 2, Bytes: 40, State: true}}, Refuse{ID: 2})
+		h.assertStep(0, time.Second, []Event{Asked{ID: 2, Bytes: 10, State: true}}, Close{ID: 1, Reason: ReasonState, Held: 45})
+	})
+}
+
+// TestConnections guards against callers that keep others out by not finishing their startup.
+func TestConnections(t *testing.T) {
+	h := newTableTest(qt.New(t))
+	h.assertStep(0, table.Never, []Event{Opened{ID: 1}, Opened{ID: 2}, Started{ID: 1}})
+	h.assertStep(0, table.Never, []Event{Opened{ID: 3, Over: true}}, Close{ID: 2, Reason: ReasonConnections}, Grant{ID: 3})
+	h.assertStep(0, table.Never, []Event{Closed{ID: 2}, Started{ID: 3}, Opened{ID: 4, Over: true}}, Refuse{ID: 4})
+}
+
+// TestNoRequestIsForgotten checks for any order of events that each request is answered once, that grants never exceed the limits, and
+// that no row is left when all is released.
+func TestNoRequestIsForgotten(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var used Usage
+		tb := NewTable(testLimits, func() Usage { return used })
+		held, waiting, now := map[ID]int64{}, map[ID]int64{}, time.Duration(0)
+		var step func(es ...Event)
+		step = func(es ...Event) {
+			as, _ := tb.Step(now, es)
+			var changes []Event
+			for _, a := range as {
+				switch a := a.(type) {
+				case Grant:
+					if waiting[a.ID] != a.Bytes {
+						rt.Fatalf("grant of %d to %d, which asked for %d", a.Bytes, a.ID, waiting[a.ID])
+					}
+					delete(waiting, a.ID)
+					used.Bytes += a.Bytes
+					held[a.ID] += a.Bytes
+					changes = append(changes, Changed{ID: a.ID, Bytes: a.Bytes})
+					if used.Bytes > testLimits.Bytes {
+						rt.Fatalf("%d bytes are granted", used.Bytes)
+					}
+				case Refuse:
+					delete(waiting, a.ID)
+				}
+			}
+			if len(changes) > 0 {
+				step(changes...)
+			}
+		}
+		release := func(id ID) {
+			n := held[id]
+			delete(held, id)
+			used.Bytes -= n
+			step(Changed{ID: id, Bytes: -n})
+		}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(rt, "ms")) * time.Millisecond
+			id := ID(rapid.IntRange(1, 5).Draw(rt, "id"))
+			switch {
+			case waiting[id] == 0 && rapid.Bool().Draw(rt, "ask"):
+				waiting[id] = rapid.Int64Range(1, 90).Draw(rt, "bytes")
+				step(Asked{ID: id, Bytes: waiting[id]})
+			default:
+				release(id)
+			}
+		}
+		now += testLimits.Wait + testLimits.Stall
+		step()
+		for id := range ID(6) {
+			release(id)
+		}
+		now += testLimits.Wait
+		step()
+		for id := range ID(6) {
+			release(id)
+		}
+		if len(waiting) > 0 || len(tb.asks) > 0 || len(tb.rows) > 0 {
+			rt.Fatalf("%v wait, asks %v, rows %v", waiting, tb.asks, tb.rows)
+		}
+	})
+}
+
+// TestHold guards against bytes that stay reserved after a connection has released them.
+func TestHold(t *testing.T) {
+	c := qt.New(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	limits := testLimits
+	limits.Bytes = 10 * SessionBytes
+	p := NewPool(ctx, limits, tick.NewClock())
+	go func() { _ = p.Run() }()
+	a, ok := p.Open(Caller, func() {})
+	c.Assert(ok, qt.IsTrue)
+	a.Started()
+	h := a.NewHold()
+	c.Assert(h.Grow(FreeBytes), qt.IsTrue)
+	c.Assert(p.Usage().Bytes, qt.Equals, int64(SessionBytes))
+	c.Assert(h.Grow(2*SessionBytes), qt.IsTrue)
+	c.Assert(a.NewHold().TryGrow(limits.Bytes), qt.IsTrue)
+	c.Assert(a.NewHold().TryGrow(limits.Bytes), qt.IsFalse)
+	h.Shrink(SessionBytes)
+	c.Assert(p.Usage().Bytes, qt.Equals, limits.Bytes/2+2*SessionBytes)
+	h.Release()
+	h.Release()
+	a.Close()
+	a.Close()
+	c.Assert(p.Usage().Bytes, qt.Equals, limits.Bytes/2)
+	c.Assert(p.Conns(Caller), qt.Equals, int64(0))
+}
--- a/internal/dispatcher/messages.go
+++ b/internal/dispatcher/messages.go
@@ -129,6 +129,8 @@
 	// Position is the newest position that the caller has read, Floor the position of its own last write.
 	Position session.Position
 	Floor    session.Position
+	// Done, if not nil, is called at the dispatcher once the outcome was sent or dropped.
+	Done func()
 }
 
 // Stats counts the requests for groups that other nodes serve, by result. Unknown counts refusals whose request may have run, and
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -14,6 +13,7 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"buckthornport.example/buckthornport/internal/budget"
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/control"
 	"buckthornport.example/buckthornport/internal/metrics"
@@ -29,9 +29,6 @@
 	"buckthornport.example/buckthornport/platform"
 )
 
-// httpReadTimeout bounds how long the readiness and status servers read a request.
-const httpReadTimeout = 5 * time.Second
-
 // Node is one proxy process on the platform.
 type Node struct {
 	settings settings.FleetNode
@@ -46,14 +43,16 @@
 	controlClient   *platform.ControlClient
 	orders          *platform.OrderClient
 	listener        *platform.Listener
-	thread          *control.Thread
-	link            *peerlink.Link
-	relay           *traffic.Relay
-	routes          atomic.Pointer[routeTable]
-	draining        atomic.Bool
-	grace           atomic.Int64
-	ctx             context.Context
-	stop            context.CancelFunc
+	// budget bounds what callers and other connections may hold.
+	budget   *budget.Pool
+	thread   *control.Thread
+	link     *peerlink.Link
+	relay    *traffic.Relay
+	routes   atomic.Pointer[routeTable]
+	draining atomic.Bool
+	grace    atomic.Int64
+	ctx      context.Context
+	stop     context.CancelFunc
 
 	// panics counts the panics that cost a connection each.
 	panics                 atomic.Int64
@@ -164,6 +163,8 @@
 	n.orders = platform.NewOrderClient(s.Orders, s.Node, n.leaseValid)
 	n.listener = platform.NewListener(n.routeFor)
 	n.listener.Panicked = n.logPanic
+	n.budget = n.newBudget()
+	n.listener.Budget = n.budget
 	n.listener.RoutesKnown = func() bool { return n.routes.Load().bundle.Version != 0 }
 	for _, f := range []func() error{n.initLink, n.initThread, n.initRelay} {
 		if err := f(); err != nil {
@@ -182,9 +183,9 @@
 		serve   func(net.Listener) error
 	}{
 		{n.settings.Listen, n.listener.Serve},
-		{n.settings.Peer, n.link.Serve},
-		{n.settings.Ready, n.serveReady},
-		{n.settings.Status, n.serveStatus},
+		{n.settings.Peer, n.limited(budget.Peer, n.link.Serve)},
+		{n.settings.Ready, n.limited(budget.HTTP, n.serveReady)},
+		{n.settings.Status, n.limited(budget.HTTP, n.serveStatus)},
 	} {
 		if l.address == "" {
 			continue
@@ -195,6 +196,7 @@
 		}
 		g.Add(func() error { return l.serve(listener) }, func(error) { _ = listener.Close() })
 	}
+	g.Add(n.budget.Run, func(error) { n.stop() })
 	g.Add(n.thread.Run, func(error) { n.stop() })
 	g.Add(n.relay.Run, func(error) { n.stop() })
 	g.Add(n.followMembers, func(error) { n.stop() })
@@ -210,9 +212,13 @@
 	return trace.Wrap(err)
 }
 
+// limited returns a function that serves connections of a class within the node's limits.
+func (n *Node) limited(class budget.Class, serve func(net.Listener) error) func(net.Listener) error {
+	return func(l net.Listener) error { return serve(traffic.LimitListener(l, n.budget, class, nil)) }
+}
+
 func (n *Node) serveReady(l net.Listener) error {
-	srv := &http.Server{Handler: platform.ReadyHandler(n.Ready), ReadTimeout: httpReadTimeout}
-	if err := srv.Serve(l); !errors.Is(err, net.ErrClosed) {
+	if err := traffic.NewHTTPServer(platform.ReadyHandler(n.Ready)).Serve(l); !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"buckthornport.example/buckthornport/internal/budget"
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/dispatcher"
 	"buckthornport.example/buckthornport/internal/operator"
@@ -138,7 +139,7 @@
 
 // acceptJobStream returns the handlers of a stream on which another node forwards requests to this one.
 func (n *Node) acceptJobStream(a peerlink.ReplySender) peerlink.JobHandlers {
-	r := &inboundStream{node: n, answers: a, sessions: map[caller.SessionID]*platform.Session{}}
+	r := &inboundStream{node: n, answers: a, account: n.budget.Detached(budget.Peer), sessions: map[caller.SessionID]*platform.Session{}}
 	n.mu.Lock()
 	n.inboundStreams[r] = true
 	n.mu.Unlock()
@@ -150,8 +151,10 @@
 
 // inboundStream holds the sessions of one stream from another node, keyed by that node's session ids.
 type inboundStream struct {
-	node     *Node
-	answers  peerlink.ReplySender
+	node    *Node
+	answers peerlink.ReplySender
+	// account is that of all sessions of the stream. No one of them can be closed for what all hold.
+	account  *budget.Account
 	mu       sync.Mutex
 	sessions map[caller.SessionID]*platform.Session
 }
@@ -168,7 +171,7 @@
 			r.answers.Outcome(dispatcher.Outcome{Session: j.Session, Seq: j.Seq, Declined: true})
 			return
 		}
-		s, ok = r.node.listener.OpenRemoteSession(platform.Route{Group: j.Group, Post: l.Post}, j.Floor,
+		s, ok = r.node.listener.OpenRemoteSession(platform.Route{Group: j.Group, Post: l.Post}, j.Floor, r.account,
 			func(seq uint64, a platform.Answer) { r.sendAnswer(j.Session, s, seq, a) })
 		if !ok {
 			r.answers.Outcome(dispatcher.Outcome{Session: j.Session, Seq: j.Seq, Declined: true})
@@ -192,6 +195,7 @@
 	current := r.sessions[id] == s
 	r.mu.Unlock()
 	if !current {
+		a.Hold.Release()
 		return
 	}
 	if !a.TransactionOpen() {
@@ -199,6 +203,7 @@
 	}
 	r.answers.Outcome(dispatcher.Outcome{
 		Session: id, Seq: seq, Answer: a.Body, State: a.State, TransactionOpen: a.TransactionOpen(), Position: a.Position, Floor: a.Floor,
+		Done: a.Hold.Release,
 	})
 }
 
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -86,8 +86,7 @@
 		expvar.Do(func(kv expvar.KeyValue) { all[kv.Key] = json.RawMessage(kv.Value.String()) })
 		writeJSON(w, all)
 	})
-	srv := &http.Server{Handler: mux, ReadTimeout: httpReadTimeout}
-	if err := srv.Serve(l); !errors.Is(err, net.ErrClosed) {
+	if err := traffic.NewHTTPServer(mux).Serve(l); !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
@@ -122,6 +121,7 @@
 	t.Line("log_lines_dropped_total", s.LogLinesDropped)
 	t.Bytes("server", &n.serverBytes)
 	t.BytesSent("node", &n.peerBytes)
+	traffic.WriteBudgetMetrics(t, n.budget)
 	n.failovers.Write(t)
 	writeRelayMetrics(t, s)
 	for _, l := range s.Lanes {
--- a/internal/operator/record.go
+++ b/internal/operator/record.go
@@ -32,6 +32,8 @@
 	KindServer Kind = "server"
 	// KindDependency is about a service or connection that the node depends on.
 	KindDependency Kind = "dependency"
+	// KindConnection is about a connection that was refused or closed because it went beyond a limit.
+	KindConnection Kind = "connection"
 )
 
 // Kinds lists all kinds of audit records.
@@ -39,6 +41,7 @@
 	return []Kind{
 		KindSuspicion, KindPromotion, KindTerm, KindRejoin, KindLeaving, KindBundle, KindMember, KindDrain, KindOutcomeUnknown,
 		KindLostWork, KindRefusal, KindGap, KindLease, KindRequest, KindServer, KindDependency,
+		KindConnection,
 	}
 }
 
--- a/internal/peerlink/jobs.go
+++ b/internal/peerlink/jobs.go
@@ -83,7 +83,7 @@
 func (l *Link) serveJobs(stream net.Conn, r *bufio.Reader) {
 	s := newJobStream(stream, r, func(n int) { l.countBytes("", n) })
 	handlers := l.handleJobs(ReplySender{
-		Outcome:  func(o dispatcher.Outcome) bool { return s.send(&Relayed{Outcome: encodeOutcome(o)}) },
+		Outcome:  func(o dispatcher.Outcome) bool { return s.sendThen(&Relayed{Outcome: encodeOutcome(o)}, o.Done) },
 		Draining: func() bool { return s.send(&Relayed{Leaving: true}) },
 	})
 	defer handlers.Ended()
@@ -103,7 +103,7 @@
 type jobStream struct {
 	stream     net.Conn
 	reader     *bufio.Reader
-	queue      chan *Relayed
+	queue      chan queuedMessage
 	countBytes func(n int)
 	ended      chan struct{}
 	once       sync.Once
@@ -111,26 +111,60 @@
 
 func newJobStream(stream net.Conn, r *bufio.Reader, countBytes func(n int)) *jobStream {
 	return &jobStream{
-		stream: stream, reader: r, queue: make(chan *Relayed, jobQueueLength), countBytes: countBytes, ended: make(chan struct{}),
+		stream: stream, reader: r, queue: make(chan queuedMessage, jobQueueLength), countBytes: countBytes, ended: make(chan struct{}),
 	}
 }
 
+// queuedMessage is a message that waits to be sent, and what is called when it was sent or dropped.
+type queuedMessage struct {
+	message *Relayed
+	done    func()
+}
+
 // send queues a message and reports whether it did. If the queue is full, send closes the stream.
 func (s *jobStream) send(m *Relayed) bool {
+	return s.sendThen(m, nil)
+}
+
+// sendThen is like send, and calls done, if it is not nil, when the message was sent or dropped.
+func (s *jobStream) sendThen(m *Relayed, done func()) bool {
+	if done == nil {
+		done = func() {}
+	}
 	select {
 	case <-s.ended:
+		done()
 		return false
 	default:
 	}
 	select {
-	case s.queue <- m:
+	case s.queue <- queuedMessage{message: m, done: done}:
+		// The stream may have ended meanwhile, after the queue was emptied.
+		select {
+		case <-s.ended:
+			s.dropQueued()
+		default:
+		}
 		return true
 	default:
 		s.close()
+		done()
 		return false
 	}
 }
 
+// dropQueued empties the queue of a stream that has ended.
+func (s *jobStream) dropQueued() {
+	for {
+		select {
+		case m := <-s.queue:
+			m.done()
+		default:
+			return
+		}
+	}
+}
+
 func (s *jobStream) close() {
 	s.once.Do(func() {
 		close(s.ended)
@@ -153,6 +187,7 @@
 
 // write sends the queued messages, and flushes when the queue is empty.
 func (s *jobStream) write() {
+	defer s.dropQueued()
 	defer s.close()
 	w := bufio.NewWriter(s.stream)
 	for {
@@ -160,7 +195,8 @@
 		case <-s.ended:
 			return
 		case m := <-s.queue:
-			n, err := protodelim.MarshalTo(w, m)
+			n, err := protodelim.MarshalTo(w, m.message)
+			m.done()
 			s.countBytes(n)
 			if err == nil && len(s.queue) == 0 {
 				err = s.flush(w)
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -22,9 +22,10 @@
 )
 
 const (
-	dialTimeout     = 2 * time.Second
-	writeTimeout    = 2 * time.Second
-	maxMessageBytes = 8 << 20
+	dialTimeout  = 2 * time.Second
+	writeTimeout = 2 * time.Second
+	// maxMessageBytes is above the largest answer of a server, 8 MiB, with what is sent along.
+	maxMessageBytes = 9 << 20
 	peerQueueLength = 64
 	// connIdleTimeout is how long a connection without messages is kept open. A node pings every member from time to time, so with a
 	// longer timeout the number of open connections would grow with the fleet.
@@ -111,7 +112,7 @@
 		return
 	}
 	defer l.untrack(conn)
-	if c, ok := conn.(*net.TCPConn); ok {
+	if c, ok := traffic.TCPConnOf(conn); ok {
 		if err := traffic.EnableDeadPeerDetection(c); err != nil {
 			return
 		}
@@ -125,13 +126,14 @@
 		return
 	}
 	defer func() { _ = s.Close() }()
+	started := sync.OnceFunc(traffic.AccountOf(conn).Started)
 	for {
 		stream, err := s.Accept()
 		if err != nil {
 			return
 		}
 		go func() {
-			if err := traffic.Contain(func() { l.readMessages(stream) }); err != nil {
+			if err := traffic.Contain(func() { l.readMessages(stream, started) }); err != nil {
 				l.panicked(err)
 			}
 		}()
@@ -152,8 +154,8 @@
 }
 
 // readMessages receives messages until the stream ends or a message cannot be decoded. A message of kindJobs turns the stream into
-// a job stream.
-func (l *Link) readMessages(stream net.Conn) {
+// a job stream. It calls started for each message, the first of which shows that the connection is that of another node.
+func (l *Link) readMessages(stream net.Conn, started func()) {
 	defer func() { _ = stream.Close() }()
 	r := bufio.NewReader(stream)
 	for {
@@ -161,6 +163,7 @@
 		if err := readMessage(r, &p); err != nil {
 			return
 		}
+		started()
 		if p.Kind == kindJobs && l.handleJobs != nil {
 			l.serveJobs(stream, r)
 			return
--- a/internal/settings/resources.go
+++ b/internal/settings/resources.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 
 	"buckthornport.example/buckthornport/internal/jsonc"
@@ -15,6 +16,16 @@
 	minFDs = 300
 )
 
+// Memory returns the memory of the machine in MB.
+func (f FleetNode) Memory() int {
+	return cmp.Or(f.MemoryMB, DefaultMemoryMB)
+}
+
+// Memory returns the memory of the machine in MB.
+func (p Proxy) Memory() int {
+	return cmp.Or(p.MemoryMB, DefaultMemoryMB)
+}
+
 // checkResources checks the memory and the descriptors of the process. A memory of 0 stands for DefaultMemoryMB, and a number of
 // descriptors of 0 for the limit that the operating system sets.
 func checkResources(d *jsonc.Document, memoryMB, maxFDs int) {
