Callers in front of PostgreSQL stay within the memory and descriptors of the machine

A message's memory was taken when its header announced it, so that 50 headers cost 799 MB; statements, settings, held answers and the cache of parsed texts had no bound in bytes, and connections none in number. Messages now take memory as they arrive and are skipped where there is none (53200); a session keeps at most 4 MiB of statements and settings (53400); held answers are reserved; long texts are parsed one at a time and not cached; an answer is written beside the server's connection if its caller does not read.

--- a/cmd/buckthornport/proxy.go
+++ b/cmd/buckthornport/proxy.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -16,6 +17,10 @@
 	"buckthornport.example/buckthornport/pkg/bundle"
 )
 
+// memoryLimitPercent is the part of the machine's memory at which the runtime's soft limit is set. The garbage collector runs more often
+// as memory use approaches it.
+const memoryLimitPercent = 50
+
 type proxyCommand struct {
 	Settings string `required:"" type:"path" help:"Settings file, JSON with comments."`
 	Policy   string `enum:",ours,fifo" default:"" help:"Scheduling policy, in place of the one in the settings: ours or fifo."`
@@ -34,6 +39,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(s.Memory()) << 20 / 100 * memoryLimitPercent)
 	if c.Policy != "" {
 		s.Policy = c.Policy
 	}
--- a/internal/budget/pool.go
+++ b/internal/budget/pool.go
@@ -75,15 +75,21 @@
 // Account is what one connection holds. A nil account has no limits.
 type Account struct {
 	pool  *Pool
-	close func()
+	conn  Closer
 	id    ID
 	class Class
 	ended atomic.Bool
 }
 
-// Open adds a connection that close closes, or returns false if it must be refused. The connection is starting until Started is called.
-func (p *Pool) Open(c Class, closeConn func()) (*Account, bool) {
-	a := &Account{pool: p, close: closeConn, id: ID(p.lastID.Add(1)), class: c}
+// Closer closes a connection for the table.
+type Closer interface {
+	Close() error
+}
+
+// Open adds a connection to the account a, which is empty, or returns false if it must be refused. The connection is starting until
+// Started is called.
+func (p *Pool) Open(a *Account, c Class, conn Closer) bool {
+	a.pool, a.conn, a.id, a.class = p, conn, ID(p.lastID.Add(1)), c
 	over := p.conns[c].Add(1) > p.limits.Conns[c]
 	if c == Caller {
 		p.bytes.Add(SessionBytes)
@@ -93,14 +99,14 @@
 	p.mu.Unlock()
 	if !over {
 		p.loop.Post(Opened{ID: a.id, Class: c})
-		return a, true
+		return true
 	}
 	if !p.await(a, Opened{ID: a.id, Class: c, Over: true}) {
 		a.Close()
 		p.report(c, Close{ID: a.id, Reason: ReasonConnections})
-		return nil, false
+		return false
 	}
-	return a, true
+	return true
 }
 
 // Detached returns an account for memory that belongs to no single connection. It is never closed.
@@ -108,7 +114,7 @@
 	if p == nil {
 		return nil
 	}
-	return &Account{pool: p, close: func() {}, id: detached, class: c}
+	return &Account{pool: p, id: detached, class: c}
 }
 
 // await posts an event and waits for its answer.
@@ -141,7 +147,7 @@
 		c := p.closers[a.ID]
 		p.mu.Unlock()
 		if c != nil {
-			c.close()
+			_ = c.conn.Close()
 			p.report(c.class, a)
 		}
 	}
@@ -220,7 +226,7 @@
 func (a *Account) reserve(n int64, state, wait bool) bool {
 	p := a.pool
 	p.mu.Lock()
-	if !a.ended.Load() {
+	if a.id != detached && !a.ended.Load() {
 		p.closers[a.id] = a
 	}
 	p.mu.Unlock()
--- a/internal/pgwire/answer.go
+++ b/internal/pgwire/answer.go
@@ -1,13 +1,13 @@
 package pgwire
 
 import (
-	"bytes"
 	"fmt"
 	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"buckthornport.example/buckthornport/internal/caller"
+	"buckthornport.example/buckthornport/internal/traffic"
 	"buckthornport.example/buckthornport/pkg/session"
 )
 
@@ -15,7 +15,27 @@
 // cannot overtake this one.
 func (x *Exchange) finish(out []byte, status byte) {
 	c := x.caller
-	c.write(out)
+	c.frames.hold.Release()
+	if n, err := traffic.TryWrite(c.conn, out); err == nil && n < len(out) {
+		// A caller that does not read must not hold the connection to the server.
+		go x.finishRest(out[n:], status)
+		return
+	} else if err != nil {
+		c.Close()
+	}
+	x.end(status)
+}
+
+// finishRest writes what the connection did not take at once.
+func (x *Exchange) finishRest(out []byte, status byte) {
+	x.caller.write(out)
+	x.end(status)
+}
+
+// end unblocks the caller's goroutine after an answer.
+func (x *Exchange) end(status byte) {
+	c := x.caller
+	c.held.Release()
 	c.txStatus = status
 	c.mu.Lock()
 	if c.current == x {
@@ -39,6 +59,7 @@
 		status = x.heldAnswer[n-1]
 	}
 	body := x.heldAnswer
+	x.heldAnswer = nil
 	if n := len(body) - readyForQueryBytes; n >= 0 {
 		body = body[:n]
 	}
@@ -53,10 +74,10 @@
 }
 
 // send writes the body of an answer, the session's new token if the floor has risen, and ReadyForQuery. The body ends before its
-// own ReadyForQuery.
+// own ReadyForQuery, and is overwritten.
 func (x *Exchange) send(body []byte, floor session.Position, status byte) {
 	c := x.caller
-	out := bytes.Clone(body)
+	out := body
 	c.mu.Lock()
 	raised := floor.Compare(c.floor) > 0
 	if raised {
--- a/internal/pgwire/caller.go
+++ b/internal/pgwire/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/rand"
+	"crypto/sha256"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -13,6 +14,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"buckthornport.example/buckthornport/internal/budget"
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/pkg/session"
 )
@@ -31,12 +33,18 @@
 	listener     *Listener
 	post         func(e caller.Event)
 	conn         net.Conn
+	account      *budget.Account
 	frames       *frameReader
 	user         string
 	database     string
 	cancelSecret uint32
 	statements   map[string]prepared
 	settings     sessionSettings
+	// kept is the reservation for the statements and settings, which have keptBytes. It is nil while they are few.
+	kept      *budget.Hold
+	keptBytes int64
+	// held is the reservation for an answer that is held back and then written.
+	held *budget.Hold
 	// requestKey is the idempotency key that the caller set for its next request, or empty.
 	requestKey string
 	// generatedKeys counts the idempotency keys that the proxy made for the session.
@@ -97,6 +105,8 @@
 
 func (c *CallerConn) end() {
 	c.Close()
+	c.frames.release()
+	c.kept.Release()
 	c.post(caller.SessionClosed{Session: c.id})
 }
 
@@ -108,6 +118,7 @@
 		return
 	}
 	c.closed = true
+	c.held.Release()
 	close(c.done)
 	_ = c.conn.Close()
 }
@@ -146,10 +157,14 @@
 // messages up to the Sync.
 func (c *CallerConn) readRequest() (request, error) {
 	var r request
+	c.frames.release()
 	for {
 		var b []byte
 		var err error
 		if b, err = c.frames.next(nil); err != nil {
+			if errors.Is(err, errNoMemory) && c.frames.header[0] != typeQuery {
+				err = c.skipToSync(err)
+			}
 			return r, err
 		}
 		switch f := frame(b); f.typeByte() {
@@ -172,11 +187,11 @@
 // skipToSync skips messages up to the next Sync. It returns cause, or an error of the connection.
 func (c *CallerConn) skipToSync(cause error) error {
 	for {
-		b, err := c.frames.next(nil)
+		kind, err := c.frames.skipNext()
 		if err != nil {
 			return err
 		}
-		if frame(b).typeByte() == typeSync {
+		if kind == typeSync {
 			return cause
 		}
 	}
@@ -202,6 +217,12 @@
 	if r.info.Local {
 		return c.answerLocally(r)
 	}
+	if r.info.SetsSession {
+		if err := c.keep(int64(len(r.sql()))); err != nil {
+			c.rejectRequest(err)
+			return true
+		}
+	}
 	c.seq++
 	x := &Exchange{caller: c, seq: c.seq, request: r, settings: c.settings}
 	c.mu.Lock()
@@ -234,7 +255,7 @@
 func (c *CallerConn) applyAnswer(x *Exchange) {
 	if x.failed {
 		for _, n := range x.request.parsedNames {
-			delete(c.statements, n)
+			c.removeStatement(n)
 		}
 		return
 	}
@@ -292,6 +313,8 @@
 	case info.Tag == "DISCARD ALL", info.Tag == "DEALLOCATE":
 		c.statements = map[string]prepared{}
 		c.settings = sessionSettings{}
+		c.keptBytes = 0
+		c.kept.Release()
 	default:
 		return c.write(errorBytes("ERROR", "42704", fmt.Sprintf("unknown setting %q", info.Setting), "",
 			"buckthornport.token and buckthornport.key can be set", c.txStatus))
@@ -374,9 +397,15 @@
 	return out
 }
 
-// script returns all statements as one string. Equal settings have equal scripts.
-func (s sessionSettings) script() string {
-	return strings.Join(s.statements, ";")
+// digest returns all statements as one string, or a hash of it if it is long. Equal settings have equal digests. Connections to servers
+// keep the digest of the settings that they have.
+func (s sessionSettings) digest() string {
+	script := strings.Join(s.statements, ";")
+	if len(script) <= sha256.BlockSize {
+		return script
+	}
+	sum := sha256.Sum256([]byte(script))
+	return string(sum[:])
 }
 
 // sql returns the SQL text of a simple query, or that of the first prepared statement that the request uses.
--- a/internal/pgwire/execution.go
+++ b/internal/pgwire/execution.go
@@ -1,8 +1,11 @@
 package pgwire
 
 import (
+	"math/bits"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"buckthornport.example/buckthornport/internal/budget"
 	"buckthornport.example/buckthornport/internal/caller"
 )
 
@@ -135,7 +138,7 @@
 // setupBytes returns the statements that change the connection's settings to those of the session, and records the settings as
 // applied.
 func (e *execution) setupBytes() []byte {
-	script := e.exchange.settings.script()
+	script := e.exchange.settings.digest()
 	if script == e.conn.appliedSettings {
 		return nil
 	}
@@ -267,22 +270,47 @@
 // that would make a held answer larger than maxHeldBytes are dropped.
 func (e *execution) forward(f frame) error {
 	if e.action.Hold {
-		if len(e.out)+len(f) <= maxHeldBytes || f.typeByte() != 'D' {
+		if f.typeByte() != 'D' || !e.tooLarge && e.reserveHeld(len(e.out)+len(f)) {
 			e.out = append(e.out, f...)
 			return nil
 		}
 		e.tooLarge = true
 		return nil
 	}
+	if len(f) >= flushBytes {
+		e.flush(e.out)
+		e.flush(f)
+		e.out = e.out[:0]
+		return nil
+	}
 	e.out = append(e.out, f...)
 	if len(e.out) >= flushBytes {
-		e.streamed = true
-		e.exchange.caller.write(e.out)
+		e.flush(e.out)
 		e.out = e.out[:0]
 	}
 	return nil
 }
 
+// reserveHeld reserves memory for n bytes of a held answer. It returns false, and drops what it has, if there is no memory for them. It does
+// not wait for memory, because the connection to the server would wait as well.
+func (e *execution) reserveHeld(n int) bool {
+	charge := int64(1) << bits.Len(uint(heldCopies*n))
+	if n <= maxHeldBytes && (charge <= budget.FreeBytes || e.exchange.caller.held.TryGrow(charge)) {
+		return true
+	}
+	e.out = nil
+	e.exchange.caller.held.Release()
+	return false
+}
+
+// flush sends a part of the answer.
+func (e *execution) flush(b []byte) {
+	if len(b) > 0 {
+		e.streamed = true
+		e.exchange.caller.write(b)
+	}
+}
+
 // popFirst removes and returns the first element. It returns false for an empty list.
 func popFirst(list *[]bool) bool {
 	if len(*list) == 0 {
@@ -305,11 +333,21 @@
 func (e *execution) holdAnswer() {
 	e.exchange.failed = e.reply.Failed
 	if e.tooLarge {
-		e.out = errorBytes("ERROR", "54000", "the work is done, but its answer is too large to hold back", "", "", 'I')
+		// The last message is ReadyForQuery, which ends with the status.
+		status := e.out[len(e.out)-1]
+		e.out = errorBytes("ERROR", "54000", "the work is done, but its answer is too large to hold back", "", "", status)
 	}
-	if e.action.Hold {
-		e.exchange.heldAnswer = e.out
+	if !e.action.Hold {
+		return
+	}
+	c := e.exchange.caller
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		c.held.Release()
+		return
 	}
+	e.exchange.heldAnswer = e.out
 }
 
 // deliver sends an answer that is not held to its caller. It runs after the reply was posted to the lane, so that a slow caller
--- a/internal/pgwire/listener.go
+++ b/internal/pgwire/listener.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
 
+	"buckthornport.example/buckthornport/internal/budget"
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/traffic"
 	"buckthornport.example/buckthornport/pkg/bundle"
@@ -47,6 +49,8 @@
 	Classify func(database, verb string, tables []string) (bundle.Class, uint64)
 	// Panicked reports a panic that cost the connection of a caller.
 	Panicked func(err error)
+	// Budget bounds what callers may hold; nil for no limits.
+	Budget *budget.Pool
 
 	signer      *session.Signer
 	tls         func() *tls.Config
@@ -102,7 +106,8 @@
 
 // Serve accepts connections until listener is closed, and then returns nil.
 func (l *Listener) Serve(listener net.Listener) error {
-	return traffic.AcceptLoop(listener, l.accept, l.countError)
+	refusal := errorBytes("FATAL", "53300", "this proxy has no room for another connection", "", "", 0)
+	return traffic.AcceptLoop(traffic.LimitListener(listener, l.Budget, budget.Caller, refusal), l.accept, l.countError)
 }
 
 // Drain makes the listener refuse new sessions. Open sessions are not affected.
@@ -123,9 +128,13 @@
 func (l *Listener) accept(conn net.Conn) {
 	l.stats.Accepted.Add(1)
 	_ = conn.SetDeadline(time.Now().Add(startupTimeout))
-	c, token, err := l.startup(conn)
+	account := traffic.AccountOf(conn)
+	c, token, err := l.startup(conn, account)
 	if err != nil {
 		l.stats.Rejected.Add(1)
+		if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
+			traffic.AccountOf(conn).Reject(budget.ReasonStartup)
+		}
 		var re *requestError
 		if errors.As(err, &re) {
 			_, _ = conn.Write(errorBytes("FATAL", re.code, re.text, "", "", 0))
@@ -137,6 +146,7 @@
 		_ = conn.Close()
 		return
 	}
+	account.Started()
 	_ = c.conn.SetDeadline(time.Time{})
 	l.stats.OpenSessions.Add(1)
 	defer l.stats.OpenSessions.Add(-1)
@@ -207,7 +217,7 @@
 
 // startup handles the messages of a connection up to ReadyForQuery. It returns the new caller and its session token, if any, or a
 // nil caller after a cancel request.
-func (l *Listener) startup(conn net.Conn) (*CallerConn, string, error) {
+func (l *Listener) startup(conn net.Conn, account *budget.Account) (*CallerConn, string, error) {
 	for {
 		code, body, err := readStartup(conn)
 		if err != nil {
@@ -226,7 +236,7 @@
 			l.cancel(body)
 			return nil, "", nil
 		case protocolVersion3:
-			return l.startSession(conn, body)
+			return l.startSession(conn, account, body)
 		default:
 			return nil, "", &requestError{code: "08P01", text: fmt.Sprintf("unsupported protocol %d.%d", code>>16, code&0xffff)}
 		}
@@ -280,7 +290,7 @@
 }
 
 // startSession authenticates a caller and creates its session. It returns the caller and the session token of the startup packet.
-func (l *Listener) startSession(conn net.Conn, body []byte) (*CallerConn, string, error) {
+func (l *Listener) startSession(conn net.Conn, account *budget.Account, body []byte) (*CallerConn, string, error) {
 	params, err := parseStartup(body)
 	if err != nil {
 		return nil, "", err
@@ -301,7 +311,7 @@
 	}
 	c := &CallerConn{
 		id: caller.SessionID(l.lastSession.Add(1)), listener: l, post: post, conn: conn, user: user, database: database,
-		frames: newFrameReader(conn, callerBufferBytes, MaxFrameBytes), cancelSecret: randomSecret(), txStatus: 'I',
+		frames: newCallerFrames(conn, account), account: account, held: account.NewHold(), cancelSecret: randomSecret(), txStatus: 'I',
 		statements: map[string]prepared{}, answered: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	c.settings = settingsFromStartup(params)
--- a/internal/pgwire/request.go
+++ b/internal/pgwire/request.go
@@ -15,6 +15,7 @@
 	sql  string
 	oids []uint32
 	name string
+	info StatementInfo
 }
 
 func newPrepared(sql string, oids []uint32) prepared {
@@ -93,7 +94,10 @@
 		return &requestError{code: "0A000", text: info.Unsupported}
 	}
 	p := newPrepared(m.Query, m.ParameterOIDs)
-	c.statements[m.Name] = p
+	p.info = info
+	if err := c.addStatement(m.Name, p); err != nil {
+		return err
+	}
 	r.parsedNames = append(r.parsedNames, m.Name)
 	r.steps = append(r.steps, step{bytes: p.parseMessage(), kind: typeParse, defines: p})
 	return nil
@@ -108,7 +112,7 @@
 	if !ok {
 		return &requestError{code: "26000", text: fmt.Sprintf("prepared statement %q does not exist", m.PreparedStatement)}
 	}
-	if err := r.addStatement(c.listener.statements.Parse(p.sql)); err != nil {
+	if err := r.addStatement(p.info); err != nil {
 		return err
 	}
 	m.PreparedStatement = p.name
@@ -142,7 +146,7 @@
 		return &requestError{code: "08P01", text: "malformed Close: " + err.Error()}
 	}
 	if m.ObjectType == 'S' {
-		delete(c.statements, m.Name)
+		c.removeStatement(m.Name)
 		m.Name = "bp_closed"
 	}
 	r.steps = append(r.steps, step{bytes: appendMessage(nil, &m), kind: typeClose})
--- a/internal/pgwire/statement.go
+++ b/internal/pgwire/statement.go
@@ -34,12 +34,21 @@
 // ProxySettingPrefix is the prefix of the proxy's own settings, which are not sent to servers.
 const ProxySettingPrefix = "buckthornport."
 
-const maxCachedStatements = 20_000
+const (
+	maxCachedStatements = 20_000
+	// maxCachedBytes bounds the texts in the cache, and maxCachedText the length of one. Longer texts, such as those with literals, are
+	// rarely sent twice, and parsing takes several times their size: only one is parsed at a time.
+	maxCachedBytes = 4 << 20
+	maxCachedText  = 32 << 10
+)
 
 // StatementCache caches the results of ParseSQL, because parsing costs more than a lookup. It is safe for concurrent use.
 type StatementCache struct {
 	mu    sync.RWMutex
 	infos map[string]StatementInfo
+	bytes int
+	// longTexts is held while a long text is parsed.
+	longTexts sync.Mutex
 }
 
 // NewStatementCache returns an empty cache.
@@ -48,8 +57,13 @@
 }
 
 // Parse returns the result of ParseSQL for a text, from the cache if it is there. A full cache is emptied before it takes another
-// text.
+// text. Long texts are not cached.
 func (c *StatementCache) Parse(sql string) StatementInfo {
+	if len(sql) > maxCachedText {
+		c.longTexts.Lock()
+		defer c.longTexts.Unlock()
+		return ParseSQL(sql)
+	}
 	c.mu.RLock()
 	info, ok := c.infos[sql]
 	c.mu.RUnlock()
@@ -59,9 +73,10 @@
 	info = ParseSQL(sql)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.infos) >= maxCachedStatements {
-		c.infos = map[string]StatementInfo{}
+	if len(c.infos) >= maxCachedStatements || c.bytes+len(sql) > maxCachedBytes {
+		c.infos, c.bytes = map[string]StatementInfo{}, 0
 	}
+	c.bytes += len(sql)
 	c.infos[strings.Clone(sql)] = info
 	return info
 }
--- a/internal/pgwire/upstream.go
+++ b/internal/pgwire/upstream.go
@@ -20,9 +20,13 @@
 	upstreamBufferBytes = 16 << 10
 	flushBytes          = 16 << 10
 	maxHeldBytes        = 32 << 20
-	readyForQueryBytes  = 6
-	positionParameter   = "group_position"
-	uniqueViolation     = "23505"
+	// heldCopies is how many times a held answer is charged: while it grows, its smaller copies are left to the collector.
+	heldCopies = 2
+	// maxKeptBuffer bounds the buffer that a connection keeps between requests.
+	maxKeptBuffer      = 64 << 10
+	readyForQueryBytes = 6
+	positionParameter  = "group_position"
+	uniqueViolation    = "23505"
 	// OutcomeTable is the table with the idempotency keys of requests and their outcomes, in the caller's database.
 	OutcomeTable = "buckthornport_outcomes"
 	// Tombstone is the outcome of a key whose request did not run and never will.
@@ -134,14 +138,19 @@
 	}
 	e := &execution{conn: u, action: a, exchange: x, reply: caller.Replied{Conn: u.id, Request: a.Request}}
 	if err := e.run(); err != nil {
+		x.caller.held.Release()
 		u.post(caller.RequestInterrupted{Conn: u.id, Request: a.Request, Unsent: e.unsent, Streamed: e.streamed})
 		return false
 	}
 	if !e.streamed && !e.reply.Failed && !u.position.Covers(a.RequiredPosition) {
+		x.caller.held.Release()
 		u.post(caller.RequestInterrupted{Conn: u.id, Request: a.Request, Unsent: true})
 		return false
 	}
 	u.lastUse = time.Now()
+	if cap(u.buf) > maxKeptBuffer {
+		u.buf = nil
+	}
 	e.reply.Position = u.position
 	e.holdAnswer()
 	u.post(e.reply)
--- a/internal/proxy/assemble.go
+++ b/internal/proxy/assemble.go
@@ -177,6 +177,8 @@
 		return err
 	}
 	n.listener.Panicked = n.logPanic
+	n.budget = n.newBudget()
+	n.listener.Budget = n.budget
 	n.listener.Lane = func(database string) (func(caller.Event), bool) {
 		l, ok := n.laneFor(database)
 		if !ok {
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"buckthornport.example/buckthornport/internal/budget"
 	"buckthornport.example/buckthornport/internal/caller"
 	"buckthornport.example/buckthornport/internal/control"
 	"buckthornport.example/buckthornport/internal/metrics"
@@ -38,14 +39,16 @@
 
 // Node is a proxy node. A process can run several nodes.
 type Node struct {
-	settings      settings.Proxy
-	log           *zap.Logger
-	level         zap.AtomicLevel
-	limiter       *operator.Limiter
-	clock         tick.Clock
-	start         time.Time
-	signer        *session.Signer
-	listener      *pgwire.Listener
+	settings settings.Proxy
+	log      *zap.Logger
+	level    zap.AtomicLevel
+	limiter  *operator.Limiter
+	clock    tick.Clock
+	start    time.Time
+	signer   *session.Signer
+	listener *pgwire.Listener
+	// budget bounds what callers and other connections may hold.
+	budget        *budget.Pool
 	thread        *control.Thread
 	link          *peerlink.Link
 	store         *tablehttp.Client
@@ -126,6 +129,7 @@
 	}
 	var g run.Group
 	g.Add(func() error { return n.listener.Serve(listener) }, func(error) { _ = listener.Close() })
+	g.Add(n.budget.Run, func(error) { n.stop() })
 	g.Add(n.thread.Run, func(error) { n.stop() })
 	if err := n.addListeners(&g); err != nil {
 		return trace.Wrap(err)
@@ -165,7 +169,8 @@
 	if err != nil {
 		return err
 	}
-	g.Add(func() error { return n.link.Serve(l) }, func(error) { _ = l.Close() })
+	peers := traffic.LimitListener(l, n.budget, budget.Peer, nil)
+	g.Add(func() error { return n.link.Serve(peers) }, func(error) { _ = l.Close() })
 	return nil
 }
 
@@ -186,6 +191,11 @@
 		n.WriteAuditRecord(r)
 		return
 	}
+	n.writeLimitedRecord(r)
+}
+
+// writeLimitedRecord writes a record to the log only, at a limited rate.
+func (n *Node) writeLimitedRecord(r operator.Record) {
 	now := n.clock()
 	if n.limiter.Admit(now, r) {
 		n.log.Info("audit", zap.Any("record", r.WithOrigin(n.settings.Node, now, n.start.Add(now).UTC())))
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -9,18 +9,13 @@
 	"net"
 	"net/http"
 	"slices"
-	"time"
 
+	"buckthornport.example/buckthornport/internal/budget"
 	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/internal/operator"
 	"buckthornport.example/buckthornport/internal/traffic"
 )
 
-const (
-	statusReadTimeout = 5 * time.Second
-	maxHeaderBytes    = 16 << 10
-)
-
 // Status is the content of a node's status page.
 type Status struct {
 	Node                string             `json:"node"`
@@ -74,9 +69,9 @@
 	})
 	mux.HandleFunc("GET /audit", func(w http.ResponseWriter, _ *http.Request) { writeRecords(w, n.Records()) })
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.debugVars()) })
-	srv := &http.Server{Handler: mux, ReadTimeout: statusReadTimeout, MaxHeaderBytes: maxHeaderBytes}
+	srv := traffic.NewHTTPServer(mux)
 	serve = func() error {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := srv.Serve(traffic.LimitListener(l, n.budget, budget.HTTP, nil)); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
@@ -122,6 +117,7 @@
 	t.Line("peer_messages_dropped_total", s.PeerMessagesDropped)
 	t.Bytes("server", &n.serverBytes)
 	t.BytesSent("node", &n.peerBytes)
+	traffic.WriteBudgetMetrics(t, n.budget)
 	n.failovers.Write(t)
 	for _, l := range s.Lanes {
 		l.WriteMetrics(t)
--- a/internal/traffic/limit.go
+++ b/internal/traffic/limit.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 
@@ -88,9 +89,9 @@
 		if !ok {
 			return conn, nil
 		}
-		a, ok := l.pool.Open(l.class, func() { _ = tcp.Close() })
-		if ok {
-			return &limitedConn{TCPConn: tcp, account: a}, nil
+		limited := &limitedConn{TCPConn: tcp}
+		if l.pool.Open(&limited.account, l.class, tcp) {
+			return limited, nil
 		}
 		if len(l.refusal) > 0 && conn.SetWriteDeadline(time.Now().Add(refusalTimeout)) == nil {
 			_, _ = conn.Write(l.refusal)
@@ -102,7 +103,7 @@
 // limitedConn is a connection with an account.
 type limitedConn struct {
 	*net.TCPConn
-	account *budget.Account
+	account budget.Account
 }
 
 // Close closes the connection and its account.
@@ -114,7 +115,7 @@
 // AccountOf returns the account of a connection that a limited listener has accepted, and nil for another one.
 func AccountOf(conn net.Conn) *budget.Account {
 	if c, ok := conn.(*limitedConn); ok {
-		return c.account
+		return &c.account
 	}
 	return nil
 }
@@ -128,6 +129,23 @@
 	return c, ok
 }
 
+// tryWriter is one write that does not wait. Writers are reused, since each statement needs one.
+type tryWriter struct {
+	b     []byte
+	n     int
+	err   error
+	write func(fd uintptr) bool
+}
+
+var tryWriters = sync.Pool{New: func() any {
+	w := &tryWriter{}
+	w.write = func(fd uintptr) bool {
+		w.n, w.err = syscall.Write(int(fd), w.b)
+		return true
+	}
+	return w
+}}
+
 // TryWrite writes what a connection takes without waiting, and returns the number of bytes. It writes nothing to a connection without a
 // descriptor.
 func TryWrite(conn net.Conn, b []byte) (int, error) {
@@ -139,19 +157,19 @@
 	if err != nil {
 		return 0, err
 	}
-	n := 0
-	var failure error
-	if err := rc.Write(func(fd uintptr) bool {
-		n, failure = syscall.Write(int(fd), b)
-		return true
-	}); err != nil {
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			// The deadline of an earlier write has passed; it says nothing about this one.
-			err = nil
-		}
+	w := tryWriters.Get().(*tryWriter)
+	w.b, w.n, w.err = b, 0, nil
+	err = rc.Write(w.write)
+	n, failure := w.n, w.err
+	w.b = nil
+	tryWriters.Put(w)
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		// The deadline of an earlier write has passed; it says nothing about this one.
+		return 0, nil
+	case err != nil:
 		return 0, err
-	}
-	if errors.Is(failure, syscall.EAGAIN) || errors.Is(failure, syscall.EINTR) {
+	case errors.Is(failure, syscall.EAGAIN) || errors.Is(failure, syscall.EINTR):
 		return 0, nil
 	}
 	return max(0, n), failure
