--- a/cmd/buckthornport-fleet/main.go
+++ b/cmd/buckthornport-fleet/main.go
@@ -24,9 +24,11 @@
 const (
 	// gcPercent is below Go's default of 100: a smaller heap costs some processor time, and the platform charges for peak memory.
 	gcPercent = 40
-	// memoryLimitBytes is the least of the runtime's soft memory limit. The garbage collector runs more often as memory use approaches it.
+	// memoryLimitBytes is the least of the runtime's soft memory limit. The garbage collector runs more often as memory use approaches
+	// it.
 	memoryLimitBytes = 24 << 20
-	// memoryLimitPercent is the part of the machine's memory at which the limit is set otherwise. The rest is for stacks and the kernel.
+	// memoryLimitPercent is the part of the machine's memory at which the limit is set otherwise. The rest is for stacks and the
+	// kernel.
 	memoryLimitPercent = 50
 )
 
--- a/cmd/buckthornport/proxy.go
+++ b/cmd/buckthornport/proxy.go
@@ -17,8 +17,8 @@
 	"buckthornport.example/buckthornport/pkg/bundle"
 )
 
-// memoryLimitPercent is the part of the machine's memory at which the runtime's soft limit is set. The garbage collector runs more often
-// as memory use approaches it.
+// memoryLimitPercent is the part of the machine's memory at which the runtime's soft limit is set. The garbage collector runs more
+// often as memory use approaches it.
 const memoryLimitPercent = 50
 
 type proxyCommand struct {
--- a/internal/budget/limits.go
+++ b/internal/budget/limits.go
@@ -46,12 +46,12 @@
 	SessionState int64
 	// Conns bounds the number of connections by their class.
 	Conns [Classes]int64
-	// Wait is how long a connection waits for memory before it is refused, and Stall the time without progress after which a connection
-	// is closed if others need its memory.
+	// Wait is how long a connection waits for memory before it is refused, and Stall the time without progress after which a
+	// connection is closed if others need its memory.
 	Wait  time.Duration
 	Stall time.Duration
-	// Startup is the time for the startup of a connection. A message that has begun and an answer may take Grace, and a second more for
-	// each Pace bytes.
+	// Startup is the time for the startup of a connection. A message that has begun and an answer may take Grace, and a second more
+	// for each Pace bytes.
 	Startup time.Duration
 	Grace   time.Duration
 	Pace    int64
--- a/internal/budget/pool.go
+++ b/internal/budget/pool.go
@@ -8,8 +8,8 @@
 	"buckthornport.example/buckthornport/internal/tick"
 )
 
-// Pool counts what the connections of a process hold. A reservation that fits takes two atomic additions and an event; only one that
-// does not fit waits for the table.
+// Pool counts what the connections of a process hold. A reservation that fits takes two atomic additions and an event; only one
+// that does not fit waits for the table.
 type Pool struct {
 	// Report is called for each connection that is refused or closed.
 	Report func(c Class, a Close)
@@ -298,8 +298,8 @@
 	return &Hold{account: a, state: true}
 }
 
-// Grow raises the hold to at least n bytes, less FreeBytes. It waits while there is no room, and returns false if it is refused. The
-// largest message is served also where it takes all there is.
+// Grow raises the hold to at least n bytes, less FreeBytes. It waits while there is no room, and returns false if it is refused.
+// The largest message is served also where it takes all there is.
 func (h *Hold) Grow(n int64) bool {
 	return h.resize(n, true)
 }
--- a/internal/budget/table.go
+++ b/internal/budget/table.go
@@ -41,8 +41,8 @@
 	State int64
 }
 
-// Asked requests bytes for which there was no room. State is set for session state. The connection waits for an answer, unless NoWait
-// is set: then it was refused already.
+// Asked requests bytes for which there was no room. State is set for session state. The connection waits for an answer, unless
+// NoWait is set: then it was refused already.
 type Asked struct {
 	ID     ID
 	Bytes  int64
@@ -129,14 +129,15 @@
 	since time.Duration
 }
 
-// Table decides which requests for memory are granted and which connections are closed to make room. Most connections have no row: they
-// have started and hold little.
+// Table decides which requests for memory are granted and which connections are closed to make room. Most connections have no row:
+// they have started and hold little.
 type Table struct {
 	// Usage returns what all connections hold together.
 	Usage  func() Usage
 	limits Limits
 	rows   map[ID]row
-	// starting holds the connections of each class in the order in which they were opened. Those that have started or closed are skipped.
+	// starting holds the connections of each class in the order in which they were opened. Those that have started or closed are
+	// skipped.
 	starting [Classes][]ID
 	asks     []ask
 	// grantedAt is when the last request was granted.
@@ -276,8 +277,8 @@
 	return u.Bytes+a.Bytes <= t.limits.Bytes && (!a.State || u.State+a.Bytes <= t.limits.State)
 }
 
-// makeRoom closes the connection that holds the most among those that others may claim, unless enough is being closed already. It reports
-// whether room is being made.
+// makeRoom closes the connection that holds the most among those that others may claim, unless enough is being closed already. It
+// reports whether room is being made.
 func (t *Table) makeRoom(now time.Duration, a Asked) bool {
 	u := t.Usage()
 	var worst ID
@@ -306,8 +307,8 @@
 	return true
 }
 
-// claim returns how many bytes a request may claim of a connection. Session state is claimed only from a session that keeps more than
-// twice as much as the requester would. Other memory is claimed from a connection that makes no progress.
+// claim returns how many bytes a request may claim of a connection. Session state is claimed only from a session that keeps more
+// than twice as much as the requester would. Other memory is claimed from a connection that makes no progress.
 func (t *Table) claim(now time.Duration, a Asked, id ID, r row) int64 {
 	switch {
 	case id == a.ID || id == detached:
--- a/internal/budget/table_test.go
+++ b/internal/budget/table_test.go
@@ -85,67 +85,77 @@
 	h.assertStep(0, table.Never, []Event{Closed{ID: 2}, Started{ID: 3}, Opened{ID: 4, Over: true}}, Refuse{ID: 4})
 }
 
-// TestNoRequestIsForgotten checks for any order of events that each request is answered once, that grants never exceed the limits, and
-// that no row is left when all is released.
-func TestNoRequestIsForgotten(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		var used Usage
-		tb := NewTable(testLimits, func() Usage { return used })
-		held, waiting, now := map[ID]int64{}, map[ID]int64{}, time.Duration(0)
-		var step func(es ...Event)
-		step = func(es ...Event) {
-			as, _ := tb.Step(now, es)
-			var changes []Event
-			for _, a := range as {
-				switch a := a.(type) {
-				case Grant:
-					if waiting[a.ID] != a.Bytes {
-						rt.Fatalf("grant of %d to %d, which asked for %d", a.Bytes, a.ID, waiting[a.ID])
-					}
-					delete(waiting, a.ID)
-					used.Bytes += a.Bytes
-					held[a.ID] += a.Bytes
-					changes = append(changes, Changed{ID: a.ID, Bytes: a.Bytes})
-					if used.Bytes > testLimits.Bytes {
-						rt.Fatalf("%d bytes are granted", used.Bytes)
-					}
-				case Refuse:
-					delete(waiting, a.ID)
-				}
+// randomRun plays events of a few connections on a table, and keeps what they hold and wait for.
+type randomRun struct {
+	rt            *rapid.T
+	t             *Table
+	now           time.Duration
+	used          Usage
+	held, waiting map[ID]int64
+}
+
+// step passes events to the table and takes in its actions.
+func (r *randomRun) step(es ...Event) {
+	as, _ := r.t.Step(r.now, es)
+	var changes []Event
+	for _, a := range as {
+		switch a := a.(type) {
+		case Grant:
+			if r.waiting[a.ID] != a.Bytes {
+				r.rt.Fatalf("grant of %d to %d, which asked for %d", a.Bytes, a.ID, r.waiting[a.ID])
 			}
-			if len(changes) > 0 {
-				step(changes...)
+			delete(r.waiting, a.ID)
+			r.used.Bytes += a.Bytes
+			r.held[a.ID] += a.Bytes
+			changes = append(changes, Changed{ID: a.ID, Bytes: a.Bytes})
+			if r.used.Bytes > testLimits.Bytes {
+				r.rt.Fatalf("%d bytes are granted", r.used.Bytes)
 			}
+		case Refuse:
+			delete(r.waiting, a.ID)
 		}
-		release := func(id ID) {
-			n := held[id]
-			delete(held, id)
-			used.Bytes -= n
-			step(Changed{ID: id, Bytes: -n})
-		}
+	}
+	if len(changes) > 0 {
+		r.step(changes...)
+	}
+}
+
+func (r *randomRun) release(id ID) {
+	n := r.held[id]
+	delete(r.held, id)
+	r.used.Bytes -= n
+	r.step(Changed{ID: id, Bytes: -n})
+}
+
+// releaseAll lets the time pass after which requests are answered, and releases what all connections hold.
+func (r *randomRun) releaseAll() {
+	r.now += testLimits.Wait + testLimits.Stall
+	r.step()
+	for id := range ID(6) {
+		r.release(id)
+	}
+}
+
+// TestNoRequestIsForgotten checks for any order of events that each request is answered once, that grants never exceed the limits,
+// and that no row is left when all is released.
+func TestNoRequestIsForgotten(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := &randomRun{rt: rt, held: map[ID]int64{}, waiting: map[ID]int64{}}
+		r.t = NewTable(testLimits, func() Usage { return r.used })
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
-			now += time.Duration(rapid.IntRange(0, 900).Draw(rt, "ms")) * time.Millisecond
+			r.now += time.Duration(rapid.IntRange(0, 900).Draw(rt, "ms")) * time.Millisecond
 			id := ID(rapid.IntRange(1, 5).Draw(rt, "id"))
-			switch {
-			case waiting[id] == 0 && rapid.Bool().Draw(rt, "ask"):
-				waiting[id] = rapid.Int64Range(1, 90).Draw(rt, "bytes")
-				step(Asked{ID: id, Bytes: waiting[id]})
-			default:
-				release(id)
+			if r.waiting[id] == 0 && rapid.Bool().Draw(rt, "ask") {
+				r.waiting[id] = rapid.Int64Range(1, 90).Draw(rt, "bytes")
+				r.step(Asked{ID: id, Bytes: r.waiting[id]})
+			} else {
+				r.release(id)
 			}
 		}
-		now += testLimits.Wait + testLimits.Stall
-		step()
-		for id := range ID(6) {
-			release(id)
-		}
-		now += testLimits.Wait
-		step()
-		for id := range ID(6) {
-			release(id)
-		}
-		if len(waiting) > 0 || len(tb.asks) > 0 || len(tb.rows) > 0 {
-			rt.Fatalf("%v wait, asks %v, rows %v", waiting, tb.asks, tb.rows)
+		r.releaseAll()
+		r.releaseAll()
+		if len(r.waiting) > 0 || len(r.t.asks) > 0 || len(r.t.rows) > 0 {
+			rt.Fatalf("%v wait, asks %v, rows %v", r.waiting, r.t.asks, r.t.rows)
 		}
 	})
 }
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -139,7 +139,8 @@
 
 // acceptJobStream returns the handlers of a stream on which another node forwards requests to this one.
 func (n *Node) acceptJobStream(a peerlink.ReplySender) peerlink.JobHandlers {
-	r := &inboundStream{node: n, answers: a, account: n.budget.Detached(budget.Peer), sessions: map[caller.SessionID]*platform.Session{}}
+	r := &inboundStream{node: n, answers: a, sessions: map[caller.SessionID]*platform.Session{}}
+	r.account = n.budget.Detached(budget.Peer)
 	n.mu.Lock()
 	n.inboundStreams[r] = true
 	n.mu.Unlock()
--- a/internal/overload/harness_test.go
+++ b/internal/overload/harness_test.go
@@ -167,7 +167,8 @@
 		// The node with more cores is the dispatcher of its zone.
 		s := map[string]any{
 			"node": fmt.Sprintf("n%d", i), "zone": "a", "store": strings.TrimPrefix(srv.URL, "http://"),
-			"orders": strings.TrimPrefix(srv.URL, "http://"), "cores": 1 + 1000*i, "log_level": "info", "memory_mb": memoryMB, "max_fds": maxFDs,
+			"orders": strings.TrimPrefix(srv.URL, "http://"), "cores": 1 + 1000*i, "log_level": "info",
+			"memory_mb": memoryMB, "max_fds": maxFDs,
 			"zones": []map[string]string{{"name": "a", "region": "r"}, {"name": "b", "region": "r"}, {"name": "m", "region": "q"}},
 		}
 		for _, k := range []string{"listen", "ready", "peer", "status"} {
--- a/internal/overload/postgres_test.go
+++ b/internal/overload/postgres_test.go
@@ -46,7 +46,8 @@
 	}
 	b := bundle.Bundle{
 		Deployment: "test", Version: 1, Callers: []bundle.Caller{{User: "demo", Databases: []string{"ledger"}}},
-		Zones: bundle.Zones{{Name: "a", Region: "r"}}, Keys: []bundle.Key{{Name: "amina", Public: base64.StdEncoding.EncodeToString(public)}}, SignaturesNeeded: 1,
+		Zones: bundle.Zones{{Name: "a", Region: "r"}}, SignaturesNeeded: 1,
+		Keys: []bundle.Key{{Name: "amina", Public: base64.StdEncoding.EncodeToString(public)}},
 	}
 	served := bundle.Group{Name: "ledger", Connections: 30, SlotsPerServer: 5}
 	for i := range 3 {
--- a/internal/pgwire/caller.go
+++ b/internal/pgwire/caller.go
@@ -397,8 +397,8 @@
 	return out
 }
 
-// digest returns all statements as one string, or a hash of it if it is long. Equal settings have equal digests. Connections to servers
-// keep the digest of the settings that they have.
+// digest returns all statements as one string, or a hash of it if it is long. Equal settings have equal digests. Connections to
+// servers keep the digest of the settings that they have.
 func (s sessionSettings) digest() string {
 	script := strings.Join(s.statements, ";")
 	if len(script) <= sha256.BlockSize {
--- a/internal/pgwire/execution.go
+++ b/internal/pgwire/execution.go
@@ -291,8 +291,8 @@
 	return nil
 }
 
-// reserveHeld reserves memory for n bytes of a held answer. It returns false, and drops what it has, if there is no memory for them. It does
-// not wait for memory, because the connection to the server would wait as well.
+// reserveHeld reserves memory for n bytes of a held answer. It returns false, and drops what it has, if there is no memory for
+// them. It does not wait for memory, because the connection to the server would wait as well.
 func (e *execution) reserveHeld(n int) bool {
 	charge := int64(1) << bits.Len(uint(heldCopies*n))
 	if n <= maxHeldBytes && (charge <= budget.FreeBytes || e.exchange.caller.held.TryGrow(charge)) {
--- a/internal/pgwire/frame.go
+++ b/internal/pgwire/frame.go
@@ -81,8 +81,8 @@
 	limit  uint32
 	offset int64
 	header [headerBytes]byte
-	// paced is the connection of a caller, and hold the reservation for the messages of a request, which have kept bytes so far. They are
-	// nil for a server, whose messages have no limits of their own.
+	// paced is the connection of a caller, and hold the reservation for the messages of a request, which have kept bytes so far. They
+	// are nil for a server, whose messages have no limits of their own.
 	paced *pacedReader
 	hold  *budget.Hold
 	kept  int64
@@ -130,8 +130,8 @@
 // errNoMemory reports a message of a caller that was skipped because there is no memory for it.
 var errNoMemory = &requestError{code: "53200", text: "this proxy has no memory for a message of this size now"}
 
-// readLong reads the body of a caller's message of n bytes. Memory for the whole message is taken only once its beginning has arrived. A
-// message for which there is none is skipped.
+// readLong reads the body of a caller's message of n bytes. Memory for the whole message is taken only once its beginning has
+// arrived. A message for which there is none is skipped.
 func (f *frameReader) readLong(buf []byte, n int) ([]byte, error) {
 	f.kept += firstReadBytes
 	if !f.hold.Grow(copies * f.kept) {
--- a/internal/pgwire/statement.go
+++ b/internal/pgwire/statement.go
@@ -36,8 +36,8 @@
 
 const (
 	maxCachedStatements = 20_000
-	// maxCachedBytes bounds the texts in the cache, and maxCachedText the length of one. Longer texts, such as those with literals, are
-	// rarely sent twice, and parsing takes several times their size: only one is parsed at a time.
+	// maxCachedBytes bounds the texts in the cache, and maxCachedText the length of one. Longer texts, such as those with literals,
+	// are rarely sent twice, and parsing takes several times their size: only one is parsed at a time.
 	maxCachedBytes = 4 << 20
 	maxCachedText  = 32 << 10
 )
--- a/internal/traffic/limit.go
+++ b/internal/traffic/limit.go
@@ -29,7 +29,8 @@
 // NewHTTPServer returns a server that waits for a slow requester for a bounded time.
 func NewHTTPServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ReadTimeout: httpReadTimeout, WriteTimeout: httpWriteTimeout, IdleTimeout: httpIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: h, ReadTimeout: httpReadTimeout, WriteTimeout: httpWriteTimeout, IdleTimeout: httpIdleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
 	}
 }
 
@@ -146,8 +147,8 @@
 	return w
 }}
 
-// TryWrite writes what a connection takes without waiting, and returns the number of bytes. It writes nothing to a connection without a
-// descriptor.
+// TryWrite writes what a connection takes without waiting, and returns the number of bytes. It writes nothing to a connection
+// without a descriptor.
 func TryWrite(conn net.Conn, b []byte) (int, error) {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
--- a/internal/traffic/limit_test.go
+++ b/internal/traffic/limit_test.go
@@ -37,8 +37,8 @@
 	return l
 }
 
-// TestTryWrite guards against a write that waits for its reader, and against one that fails because the deadline of an earlier write has
-// passed, which closed the connections of ordinary callers 10 s after their startup.
+// TestTryWrite guards against a write that waits for its reader, and against one that fails because the deadline of an earlier
+// write has passed, which closed the connections of ordinary callers 10 s after their startup.
 func TestTryWrite(t *testing.T) {
 	c := qt.New(t)
 	server, client := connPair(c, listen(c))
