Limits for large fleets, and connections of nodes that never send a message

A node of a fleet of 300 accepts 106 connections a second from others and keeps each for 3 s, more than the 256 that 4,300 descriptors gave them; they now get a sixth, 683. A caller's connection is charged 5 KB, as the charge counts twice and an idle session takes 8 KB, so that 23,000 sessions fit into 536 MB. The list of starting connections grew by one id with each connection behind one that never finished its startup, such as a status page's that is kept open; it is now cleaned.

--- a/internal/budget/limits.go
+++ b/internal/budget/limits.go
@@ -20,8 +20,9 @@
 }
 
 const (
-	// SessionBytes is the charge for a caller's connection, above what an idle session was measured to take.
-	SessionBytes = 10 << 10
+	// SessionBytes is the charge for a caller's connection. An idle session was measured to take 8 KB of memory, and the charge counts
+	// bytesOfLimit times.
+	SessionBytes = 5 << 10
 	// FreeBytes is what each message, answer and session may hold without a reservation. The messages of ordinary callers are smaller.
 	FreeBytes = 4 << 10
 	// baseBytes is what a process takes without callers.
@@ -32,9 +33,13 @@
 	fileReserve = 200
 	// httpConns is the number of connections to the status and readiness addresses together.
 	httpConns = 16
-	// maxOtherConns bounds the descriptors that are set aside for connections from other nodes, and those for connections to nodes and
-	// servers.
-	maxOtherConns = 384
+	// minOtherConns and maxOutgoingConns bound the descriptors that are set aside for connections to nodes and servers. A node has
+	// some hundred of them.
+	minOtherConns    = 32
+	maxOutgoingConns = 384
+	// maxPeerConns bounds the connections from other nodes. A node of a fleet of 300 was measured to accept 106 a second, of which
+	// each is kept for 3 s, beside the links of callers' nodes to a dispatcher.
+	maxPeerConns = 1024
 )
 
 // Limits bounds what the connections of a process may hold.
@@ -66,7 +71,8 @@
 	}
 	l.State = l.Bytes / 2
 	available := maxFDs - min(fileReserve, maxFDs/4)
-	peers, outgoing := min(max(32, available/16), maxOtherConns), min(max(32, available/8), maxOtherConns)
+	peers := min(max(minOtherConns, available/6), maxPeerConns)
+	outgoing := min(max(minOtherConns, available/8), maxOutgoingConns)
 	l.Conns = [Classes]int64{
 		Caller: min(int64(available-httpConns-peers-outgoing), l.Bytes*3/4/SessionBytes), Peer: int64(peers), HTTP: httpConns,
 	}
--- a/internal/budget/table.go
+++ b/internal/budget/table.go
@@ -139,7 +139,10 @@
 	// starting holds the connections of each class in the order in which they were opened. Those that have started or closed are
 	// skipped.
 	starting [Classes][]ID
-	asks     []ask
+	// cleanAt is the length of starting from which it is looked through, so that it does not grow behind a connection that stays
+	// first.
+	cleanAt [Classes]int
+	asks    []ask
 	// grantedAt is when the last request was granted.
 	grantedAt time.Duration
 	actions   []Action
@@ -218,8 +221,15 @@
 	if t.starting[class] = ids[n:]; n == len(ids) {
 		t.starting[class] = nil
 	}
+	if ids = t.starting[class]; len(ids) >= max(minCleanAt, t.cleanAt[class]) {
+		ids = slices.DeleteFunc(slices.Clone(ids), func(id ID) bool { return !t.rows[id].starting || t.rows[id].closing })
+		t.starting[class], t.cleanAt[class] = ids, 2*len(ids)
+	}
 }
 
+// minCleanAt keeps short lists from being looked through each time.
+const minCleanAt = 64
+
 // takeStarting removes and returns the connection of a class that has been starting for the longest time.
 func (t *Table) takeStarting(class Class) (ID, bool) {
 	t.skipStarted(class)
--- a/internal/budget/table_test.go
+++ b/internal/budget/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -85,6 +86,35 @@
 	h.assertStep(0, table.Never, []Event{Closed{ID: 2}, Started{ID: 3}, Opened{ID: 4, Over: true}}, Refuse{ID: 4})
 }
 
+// TestStartingIsBounded guards against a list that grows with each connection behind one that never finishes its startup.
+func TestStartingIsBounded(t *testing.T) {
+	h := newTableTest(qt.New(t))
+	h.assertStep(0, table.Never, []Event{Opened{ID: 1, Class: HTTP}})
+	for id := range ID(10 * minCleanAt) {
+		h.assertStep(0, table.Never, []Event{Opened{ID: id + 2, Class: HTTP}, Closed{ID: id + 2}})
+	}
+	h.c.Assert(len(h.t.starting[HTTP]) <= minCleanAt, qt.IsTrue)
+	last := Opened{ID: 9999, Class: HTTP, Over: true}
+	h.assertStep(0, table.Never, []Event{last}, Close{ID: 1, Reason: ReasonConnections}, Grant{ID: last.ID})
+}
+
+// TestLimits guards against limits that are too small for the smallest machines, or for 23,000 sessions on the largest.
+func TestLimits(t *testing.T) {
+	for _, k := range []struct {
+		memoryMB, fds int
+		callers       int64
+	}{{160, 4300, 3000}, {160, 8192, 6000}, {536, 8192, 6000}, {536, 30_000, 23_000}, {48, 300, 100}} {
+		t.Run(fmt.Sprint(k.memoryMB, " MB, ", k.fds), func(t *testing.T) {
+			c := qt.New(t)
+			l := NewLimits(k.memoryMB, k.fds)
+			c.Assert(l.Conns[Caller] >= k.callers, qt.IsTrue, qt.Commentf("%d callers", l.Conns[Caller]))
+			sum := l.Conns[Caller] + l.Conns[Peer] + l.Conns[HTTP]
+			c.Assert(sum < int64(k.fds), qt.IsTrue, qt.Commentf("%d connections", sum))
+			c.Assert(l.Bytes >= 4<<20, qt.IsTrue)
+		})
+	}
+}
+
 // randomRun plays events of a few connections on a table, and keeps what they hold and wait for.
 type randomRun struct {
 	rt            *rapid.T
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"buckthornport.example/buckthornport/internal/budget"
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/platform"
 	"buckthornport.example/buckthornport/internal/traffic"
@@ -126,7 +127,8 @@
 		return
 	}
 	defer func() { _ = s.Close() }()
-	started := sync.OnceFunc(traffic.AccountOf(conn).Started)
+	started, stop := awaitStart(conn)
+	defer stop()
 	for {
 		stream, err := s.Accept()
 		if err != nil {
@@ -140,6 +142,25 @@
 	}
 }
 
+// awaitStart closes a connection that sends no message within the time for its startup. It returns the functions to call for each
+// message, and when the connection is closed.
+func awaitStart(conn net.Conn) (started, stop func()) {
+	a := traffic.AccountOf(conn)
+	limits, ok := a.Limits()
+	if !ok {
+		return func() {}, func() {}
+	}
+	late := time.AfterFunc(limits.Startup, func() {
+		a.Reject(budget.ReasonStartup)
+		_ = conn.Close()
+	})
+	started = sync.OnceFunc(func() {
+		late.Stop()
+		a.Started()
+	})
+	return started, func() { late.Stop() }
+}
+
 func (l *Link) track(conn net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
