Merge the bounds for callers that misbehave

Change: tests of crowds, bytes and connections accounted for the whole process, bounds from the machine, which the settings' template passes on.

--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -86,8 +86,7 @@
 		expvar.Do(func(kv expvar.KeyValue) { all[kv.Key] = json.RawMessage(kv.Value.String()) })
 		writeJSON(w, all)
 	})
-	srv := &http.Server{Handler: mux, ReadTimeout: httpReadTimeout}
-	if err := srv.Serve(l); !errors.Is(err, net.ErrClosed) {
+	if err := traffic.NewHTTPServer(mux).Serve(l); !errors.Is(err, net.ErrClosed) {
 		return err
 	}
 	return nil
@@ -125,6 +124,7 @@
 	t.Bytes("server", &n.serverBytes)
 	t.BytesSent("node", &n.peerBytes)
 	t.Purposes(&n.purposes)
+	traffic.WriteBudgetMetrics(t, n.budget)
 	n.failovers.Write(t)
 	writeRelayMetrics(t, s)
 	n.writeLimitMetrics(t)
--- a/internal/peerlink/link.go
+++ b/internal/peerlink/link.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"buckthornport.example/buckthornport/internal/budget"
 	"buckthornport.example/buckthornport/internal/metrics"
 	"buckthornport.example/buckthornport/internal/peer"
 	"buckthornport.example/buckthornport/internal/platform"
@@ -24,9 +25,10 @@
 )
 
 const (
-	dialTimeout     = 2 * time.Second
-	writeTimeout    = 2 * time.Second
-	maxMessageBytes = 8 << 20
+	dialTimeout  = 2 * time.Second
+	writeTimeout = 2 * time.Second
+	// maxMessageBytes is above the largest answer of a server, 8 MiB, with what is sent along.
+	maxMessageBytes = 9 << 20
 	peerQueueLength = 64
 	// connIdleTimeout is how long a connection without messages is kept open. A node pings every member from time to time, so
 	// with a longer timeout the number of open connections would grow with the fleet.
@@ -130,7 +132,7 @@
 		return
 	}
 	defer l.untrack(conn)
-	if c, ok := conn.(*net.TCPConn); ok {
+	if c, ok := traffic.TCPConnOf(conn); ok {
 		if err := traffic.EnableDeadPeerDetection(c); err != nil {
 			return
 		}
@@ -144,19 +146,40 @@
 		return
 	}
 	defer func() { _ = s.Close() }()
+	started, stop := awaitStart(conn)
+	defer stop()
 	for {
 		stream, err := s.Accept()
 		if err != nil {
 			return
 		}
 		go func() {
-			if err := traffic.Contain(func() { l.serveStream(stream) }); err != nil {
+			if err := traffic.Contain(func() { l.serveStream(stream, started) }); err != nil {
 				l.panicked(err)
 			}
 		}()
 	}
 }
 
+// awaitStart closes a connection that sends no message within the time for its startup. It returns the functions to call for each
+// message, and when the connection is closed.
+func awaitStart(conn net.Conn) (started, stop func()) {
+	a := traffic.AccountOf(conn)
+	limits, ok := a.Limits()
+	if !ok {
+		return func() {}, func() {}
+	}
+	late := time.AfterFunc(limits.Startup, func() {
+		a.Reject(budget.ReasonStartup)
+		_ = conn.Close()
+	})
+	started = sync.OnceFunc(func() {
+		late.Stop()
+		a.Started()
+	})
+	return started, func() { late.Stop() }
+}
+
 func (l *Link) track(conn net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -170,13 +193,15 @@
 	delete(l.inbound, conn)
 }
 
-// serveStream receives the messages of a stream that another node has opened. A message of kindJobs turns it into a job stream.
-func (l *Link) serveStream(stream net.Conn) {
+// serveStream receives the messages of a stream that another node has opened. A message of kindJobs turns it into a job
+// stream. It calls started for each message, the first of which shows that the connection is that of another node.
+func (l *Link) serveStream(stream net.Conn, started func()) {
 	defer func() { _ = stream.Close() }()
 	r := bufio.NewReader(stream)
 	sender := ""
 	defer func() { l.removeReplyStream(sender, stream) }()
 	l.readMessages(r, func(p *Message) bool {
+		started()
 		if p.Kind == kindJobs && l.handleJobs != nil {
 			l.serveJobs(stream, r)
 			return false
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -37,6 +37,9 @@
 	RateWindowMS  float64 `json:"rate_window_ms"`
 	RateTolerance float64 `json:"rate_tolerance"`
 	RateSlack     float64 `json:"rate_slack"`
+	// MemoryMB and MaxFDs bound what callers can make the process use.
+	MemoryMB int `json:"memory_mb"`
+	MaxFDs   int `json:"max_fds"`
 }
 
 // DefaultGraceMS is the time in milliseconds from SIGTERM to the end of a node on the platform.
@@ -81,6 +84,7 @@
 		checkAddress(d, fmt.Sprintf("seeds[%d]", i), v, true)
 	}
 	checkChoice(d, "log_level", f.LogLevel, logLevels)
+	checkResources(d, f.MemoryMB, f.MaxFDs)
 	if f.Cores <= 0 {
 		d.AddError("cores", "is not a positive number", "want a number of processor cores above zero")
 	}
--- a/internal/settings/template_test.go
+++ b/internal/settings/template_test.go
@@ -24,6 +24,7 @@
 		"{{#Bounds.QuotaWindowS}}", "", "{{Bounds.QuotaWindowS}}", "5", "{{/Bounds.QuotaWindowS}}", "",
 		"{{#Bounds.QuotaOverage}}", "", "{{Bounds.QuotaOverage|json}}", "0.1", "{{/Bounds.QuotaOverage}}", "",
 		"{{#Bounds.QuotaSlack}}", "", "{{Bounds.QuotaSlack|json}}", "20", "{{/Bounds.QuotaSlack}}", "",
+		"{{Limits.MemoryMb|json}}", "284", "{{Limits.MaxFds|json}}", "4300",
 		"{{Limits.CpuQuota|json}}", "0.4", "{{Bounds.GraceS}}", grace).Replace(string(raw)))
 }
 
