--- a/internal/caller/tenant_conns_test.go
+++ b/internal/caller/tenant_conns_test.go
@@ -16,11 +16,10 @@
 }
 
 // finishWrite answers the write that a lane has just sent, after its connection was opened.
-func (f *laneFixture) finishWrite(c *qt.C, o caller.Open) caller.Send {
+func (f *laneFixture) finishWrite(c *qt.C, o caller.Open) {
 	c.Helper()
 	s := only[caller.Send](c, f.step(caller.ConnOpened{Conn: o.Conn}))
 	f.step(caller.Replied{Conn: s.Conn, Request: s.Request, Position: session.Position{Term: 1, Offset: 11}})
-	return s
 }
 
 // TestConnectionsOfTenants guards against a request on a connection of another tenant, and against connections that block others.
--- a/internal/metrics/purpose.go
+++ b/internal/metrics/purpose.go
@@ -5,9 +5,9 @@
 // Purpose is what a message to another node or a new connection is for.
 type Purpose int
 
-// The purposes. Gossip covers the pings and updates of the membership, Tables the copies of the store's tables, and Limits the credit
-// of tenants. Messages of all three travel on connections of the purpose Peers. Jobs are requests for a dispatcher. Control covers status requests and orders
-// to servers, Statements the connections on which callers' statements run.
+// The purposes. Gossip covers the pings and updates of the membership, Tables the copies of the store's tables, and Limits the
+// credit of tenants. Messages of all three travel on connections of the purpose Peers. Jobs are requests for a dispatcher. Control
+// covers status requests and orders to servers, Statements the connections on which callers' statements run.
 const (
 	Gossip Purpose = iota
 	Tables
--- a/internal/pgwire/access_test.go
+++ b/internal/pgwire/access_test.go
@@ -18,7 +18,7 @@
 	"buckthornport.example/buckthornport/pkg/session"
 )
 
-// TestAccessRevoked guards against a session that goes on after its user has lost access, and against requests without their tenant.
+// TestAccessRevoked guards against a session that goes on after its user has lost access, and against requests without a tenant.
 func TestAccessRevoked(t *testing.T) {
 	c := qt.New(t)
 	s, err := session.NewSigner([]byte("0123456789abcdef"))
@@ -50,7 +50,8 @@
 	go func() { _ = l.Serve(ln) }()
 	c.Cleanup(func() { _ = ln.Close() })
 	ctx := context.Background()
-	conn, err := pgx.Connect(ctx, fmt.Sprintf("postgres://shop@%s/ledger?sslmode=disable&default_query_exec_mode=simple_protocol", ln.Addr()))
+	const options = "sslmode=disable&default_query_exec_mode=simple_protocol"
+	conn, err := pgx.Connect(ctx, fmt.Sprintf("postgres://shop@%s/ledger?%s", ln.Addr(), options))
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = conn.Close(ctx) })
 	assertState := func(want string) {
--- a/internal/pgwire/caller.go
+++ b/internal/pgwire/caller.go
@@ -289,7 +289,9 @@
 // describe returns what the lane's decisions need to know about a request.
 func (c *CallerConn) describe(r request) caller.Statement {
 	class, version := c.listener.Classify(c.database, r.info.Verb, r.info.Tables)
-	s := caller.Statement{Kind: r.info.Kind, Class: class, Version: version, Writes: r.batchWrites(), ID: c.requestID(c.seq), Tenant: c.tenant}
+	s := caller.Statement{
+		Kind: r.info.Kind, Class: class, Version: version, Writes: r.batchWrites(), ID: c.requestID(c.seq), Tenant: c.tenant,
+	}
 	if class.NotRepeatable && (r.info.Kind == caller.KindWrite || s.Writes) {
 		s.Key = c.takeKey()
 	}
--- a/internal/tenant/fallback.go
+++ b/internal/tenant/fallback.go
@@ -92,8 +92,8 @@
 	return l.Rate / float64(max(1, h.members.Known, h.members.Alive))
 }
 
-// admitAlone admits operations of a tenant that wait while no home answers, as far as the node's own bucket goes. The home counts as
-// silent from the given time on.
+// admitAlone admits operations of a tenant that wait while no home answers, as far as the node's own bucket goes. The home counts
+// as silent from the given time on.
 func (a *Account) admitAlone(now, from time.Duration, name string, t account) account {
 	t.alone = t.alone.withSilence(from, t.admittedRate(now)).withTime(now, a.homes.equalShare(a.limits[name]))
 	for len(t.queue) > 0 {
