--- a/internal/tenant/account.go
+++ b/internal/tenant/account.go
@@ -204,6 +204,8 @@
 	short := need - g.Credit
 	switch {
 	case short <= 0:
+		// Operations that come until then may fit as well: the time was told by another home, or the limit was raised.
+		t.refusedUntil = 0
 	case g.Unready:
 		t.askAfter = now + askTimeout
 		t = a.admitAlone(now, now, g.Tenant, t)
