--- a/cmd/buckthornport-fleet/stop_test.go
+++ b/cmd/buckthornport-fleet/stop_test.go
@@ -42,7 +42,12 @@
 {"Name":"r1","Host":"ledger","Kind":"primary","TimeoutMs":1500,"TargetLatencyMs":400,"Priority":1,"Service":"books"},
 {"Name":"r2","Host":"board","Kind":"bounded_staleness","TimeoutMs":2500,"Priority":2,"Service":"books","MaxStalenessMs":1500},
 {"Name":"r3","Host":"tickets","Kind":"read_your_writes","TimeoutMs":2500,"Priority":2,"Service":"books","MaxStalenessMs":2500}],
-"Services":[{"Name":"books","MaxConns":%d,"SyncReplicas":1}],"Limits":{"TxIdleMs":3000}}`
+"Services":[{"Name":"books","MaxConns":%d,"SyncReplicas":1}],"Limits":{"TxIdleMs":3000}%s}`
+
+// soakTenants are the tenants of a configuration. The limit of the first one is far above what its callers ask for, so that it lets
+// everything through but is asked about each operation; its second key is revoked and given back by turns.
+const soakTenants = `,"Tenants":[{"Name":"shops","ApiKeys":[%s],"RatePerS":10000,"Burst":10000},
+{"Name":"offices","ApiKeys":["key-offices"]}]`
 
 // soak is a deployment of real processes that are stopped and started while callers use it.
 type soak struct {
@@ -53,7 +58,9 @@
 	proxies  []*proxyProcess
 	version  int
 	conns    int
-	end      time.Time
+	// tenants is set if callers need keys.
+	tenants bool
+	end     time.Time
 
 	mu sync.Mutex
 	// faults describes the requests that were not handled as they must be.
@@ -90,7 +97,7 @@
 	c.Helper()
 	s := &soak{
 		c: c, platform: metadata.New(), random: rand.New(rand.NewSource(seed)), version: 3, written: map[string]string{},
-		refused: map[string]string{}, conns: 4*processes + 4,
+		refused: map[string]string{}, conns: 4*processes + 4, tenants: seed%2 == 0,
 	}
 	if s.random.Intn(2) == 0 {
 		// Too few connections for each proxy, so that a few of them serve the group for all.
@@ -126,7 +133,12 @@
 
 func (s *soak) putConfig() {
 	s.version++
-	s.platform.Put("op", "config", fmt.Appendf(nil, soakConfig, s.version, s.conns))
+	tenants := ""
+	if s.tenants {
+		keys := []string{`"key-shops"`, `"key-shops","key-revoked"`}[s.version%2]
+		tenants = fmt.Sprintf(soakTenants, keys)
+	}
+	s.platform.Put("op", "config", fmt.Appendf(nil, soakConfig, s.version, s.conns, tenants))
 }
 
 func (s *soak) newProxy(name, zone string) *proxyProcess {
@@ -180,7 +192,7 @@
 			s.start(p)
 		}
 		if conn, err := net.Dial("tcp", p.address("listen")); err == nil {
-			_, _ = fmt.Fprint(conn, "STARTUP ledger probe\r\n")
+			_, _ = fmt.Fprint(conn, "STARTUP ledger key-offices\r\n")
 			l, _ := bufio.NewReader(conn).ReadString('\n')
 			_ = conn.Close()
 			if strings.HasPrefix(l, "READY") {
@@ -330,7 +342,8 @@
 	}
 	k.conn, k.r = conn, bufio.NewReader(conn)
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
-	_, _ = fmt.Fprintf(conn, "STARTUP %s user\r\n", k.database)
+	key := []string{"key-shops", "key-revoked", "key-offices"}[k.random.Intn(3)]
+	_, _ = fmt.Fprintf(conn, "STARTUP %s %s\r\n", k.database, key)
 	l, err := k.r.ReadString('\n')
 	if err != nil || !strings.HasPrefix(l, "READY") {
 		_ = conn.Close()
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -48,7 +48,7 @@
 			if limits == nil {
 				limits = map[string]tenant.Limit{}
 			}
-			limits[t.Name] = tenant.Limit{Rate: t.RatePerS, Burst: t.Burst}
+			limits[t.Name] = tenant.Limit{Rate: t.Rate, Burst: t.Burst}
 		}
 	}
 	return limits
--- a/internal/peer/rows.go
+++ b/internal/peer/rows.go
@@ -265,3 +265,18 @@
 func (OfferBundle) peerAction()    {}
 func (MembersChanged) peerAction() {}
 func (MemberChanged) peerAction()  {}
+
+// broadcast is an update or a route that is still to be sent in the given number of messages.
+type broadcast struct {
+	update    Update
+	route     Route
+	remaining int
+	// joined is set if the update is the first about a member.
+	joined bool
+}
+
+// relayedPing names the node that requested a ping, and the sequence number of its request.
+type relayedPing struct {
+	to  string
+	seq uint64
+}
--- a/pkg/bundle/bundle_test.go
+++ b/pkg/bundle/bundle_test.go
@@ -225,7 +225,7 @@
 			}},
 			Callers: []bundle.Caller{{User: "u", Databases: []string{"d"}}}, Keys: []bundle.Key{{Name: "k"}},
 			Routes:  []bundle.Route{{Name: "r", Database: "d", Group: "g", Class: class()}},
-			Tenants: []bundle.Tenant{{Name: "t", Keys: []bundle.KeyDigest{{}}, RatePerS: 1, Burst: 1}},
+			Tenants: []bundle.Tenant{{Name: "t", Keys: []bundle.KeyDigest{{}}, Rate: 1, Burst: 1}},
 		}
 	}
 	after := full()
--- a/pkg/bundle/diff.go
+++ b/pkg/bundle/diff.go
@@ -123,7 +123,7 @@
 	if !t.Limited() {
 		return "no limit"
 	}
-	return fmt.Sprintf("a limit of %v operations per second and a burst of %v", t.RatePerS, t.Burst)
+	return fmt.Sprintf("a limit of %v operations per second and a burst of %v", t.Rate, t.Burst)
 }
 
 func diffGroup(a, b Group) []string {
--- a/pkg/bundle/tenant.go
+++ b/pkg/bundle/tenant.go
@@ -13,10 +13,10 @@
 	Name string `json:"name"`
 	// Keys are the digests of the keys that identify the tenant's callers.
 	Keys []KeyDigest `json:"keys,omitempty"`
-	// RatePerS and Burst limit the operations of the tenant over all nodes: at most RatePerS*s + Burst run in any s seconds. A zero
-	// RatePerS means that there is no limit.
-	RatePerS float64 `json:"rate_per_s,omitempty"`
-	Burst    float64 `json:"burst,omitempty"`
+	// Rate, in operations per second, and Burst limit the operations of the tenant over all nodes: at most Rate*s + Burst run in any
+	// s seconds. A zero Rate means that there is no limit.
+	Rate  float64 `json:"rate,omitempty"`
+	Burst float64 `json:"burst,omitempty"`
 }
 
 // KeyDigest is the SHA-256 digest of a tenant's key.
@@ -44,7 +44,7 @@
 
 // Limited reports whether the tenant's operations are limited.
 func (t Tenant) Limited() bool {
-	return t.RatePerS > 0
+	return t.Rate > 0
 }
 
 // Tenant returns the named tenant, and whether there is one.
@@ -86,8 +86,8 @@
 		return "name", "is missing"
 	case c.names[t.Name]:
 		return "name", fmt.Sprintf("%q is used twice", t.Name)
-	case !validAmount(t.RatePerS):
-		return "rate_per_s", fmt.Sprintf("%v is no number of operations per second", t.RatePerS)
+	case !validAmount(t.Rate):
+		return "rate", fmt.Sprintf("%v is no number of operations per second", t.Rate)
 	case !validAmount(t.Burst):
 		return "burst", fmt.Sprintf("%v is no number of operations", t.Burst)
 	}
