A command that explains where a request would go now, without sending it

Change: buckthornport route and GET /route on both kinds of nodes: lanes and the relay explain the decision that they would take, with each server's or node's reason; a limit that is used up is named.

--- a/cmd/buckthornport/inspect.go
+++ b/cmd/buckthornport/inspect.go
@@ -153,7 +153,11 @@
 		return nil, trace.ConnectionProblem(err, "no HTTP response from %s", address)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return io.ReadAll(resp.Body)
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		return nil, trace.BadParameter("%s answers: %s", address, strings.TrimSpace(string(body)))
+	}
+	return body, err
 }
 
 type statusCommand struct {
--- a/cmd/buckthornport/main.go
+++ b/cmd/buckthornport/main.go
@@ -23,6 +23,7 @@
 	Status   statusCommand   `cmd:"" help:"Show the status of nodes in one table."`
 	Audit    auditCommand    `cmd:"" help:"Read the audit trail."`
 	Explain  explainCommand  `cmd:"" help:"Explain failovers, requests and configurations in plain sentences."`
+	Route    routeCommand    `cmd:"" help:"Explain where a request would go now, without sending it."`
 	Outcome  outcomeCommand  `cmd:"" help:"Resolve the outcome of a request by its idempotency key."`
 	Load     loadCommand     `cmd:"" help:"Run a load scenario and report latencies and wrong answers."`
 	Capacity capacityCommand `cmd:"" help:"Print the tables of docs/CAPACITY.md from measured data."`
--- a/internal/caller/lane.go
+++ b/internal/caller/lane.go
@@ -286,6 +286,8 @@
 		l.drainTransactions()
 	case DrainDeadline:
 		l.answerAll(now)
+	case RouteQuestion:
+		l.explainRoute(now, e)
 	default:
 		l.applyUpstream(now, e)
 	}
--- a/internal/dispatcher/relay.go
+++ b/internal/dispatcher/relay.go
@@ -121,6 +121,8 @@
 		r.drain(now)
 	case caller.DrainDeadline:
 		r.answerAll(now)
+	case RouteQuestion:
+		r.explainRoute(now, e)
 	case DispatchersAssigned:
 		r.assign(now, e)
 	case LinkUp:
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -81,6 +81,7 @@
 		n.writeMetrics(w)
 	})
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.Status()) })
+	mux.HandleFunc("GET /route", traffic.RouteHandler(n.lookUpRoute))
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		all := map[string]any{"buckthornport": n.Status()}
 		expvar.Do(func(kv expvar.KeyValue) { all[kv.Key] = json.RawMessage(kv.Value.String()) })
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -68,6 +68,7 @@
 		n.writeMetrics(w)
 	})
 	mux.HandleFunc("GET /audit", func(w http.ResponseWriter, _ *http.Request) { writeRecords(w, n.Records()) })
+	mux.HandleFunc("GET /route", traffic.RouteHandler(n.lookUpRoute))
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.debugVars()) })
 	srv := traffic.NewHTTPServer(mux)
 	serve = func() error {
--- a/internal/tenant/limiter.go
+++ b/internal/tenant/limiter.go
@@ -195,6 +195,12 @@
 	}
 }
 
+// RefusedFor returns how long the node refuses operations of a tenant at once because the tenant has used up its limit.
+func (l *Limiter) RefusedFor(name string, now time.Duration) time.Duration {
+	t, _ := l.account.tenants.Get(name)
+	return max(0, t.refusedUntil-now)
+}
+
 // Stats returns a snapshot of the counters.
 func (l *Limiter) Stats() Stats {
 	return l.stats.snapshot()
--- a/internal/traffic/relay.go
+++ b/internal/traffic/relay.go
@@ -139,6 +139,8 @@
 		go c.Refuse(a)
 	case caller.EndSession:
 		go c.EndSession(a.Session)
+	case caller.RouteExplained:
+		a.Reply(a.Explanation)
 	}
 }
 
