--- a/internal/caller/explain.go
+++ b/internal/caller/explain.go
@@ -41,8 +41,8 @@
 	// Target is the server or the node that would get the request, "" if none would now.
 	Target string `json:"target,omitempty"`
 	Queue  string `json:"queue,omitempty"`
-	// Ahead counts the requests that would be served before, ExpectedWaitMS is the expected wait behind them and PatienceMS how long the
-	// request would wait at most.
+	// Ahead counts the requests that would be served before, ExpectedWaitMS is the expected wait behind them and PatienceMS how long
+	// the request would wait at most.
 	Ahead          int            `json:"ahead"`
 	ExpectedWaitMS float64        `json:"expected_wait_ms"`
 	PatienceMS     float64        `json:"patience_ms"`
--- a/internal/traffic/route.go
+++ b/internal/traffic/route.go
@@ -15,10 +15,12 @@
 
 // RouteLookup returns what asks the lane or the relay of a database about a request of a tenant, or an error if there is no such
 // route. tables are those that the request names, on front ends that look at statements.
-type RouteLookup func(database, tenant string, st caller.Statement, tables []string) (ask func(reply func(caller.RouteExplanation)), err error)
+type RouteLookup func(
+	database, tenant string, st caller.Statement, tables []string,
+) (ask func(reply func(caller.RouteExplanation)), err error)
 
-// RouteHandler serves GET /route, which explains as JSON where a request would go now, without sending it. Its parameters are database,
-// kind (read, write, begin or begin-read), tenant and table.
+// RouteHandler serves GET /route, which explains as JSON where a request would go now, without sending it. Its parameters are
+// database, kind (read, write, begin or begin-read), tenant and table.
 func RouteHandler(lookup RouteLookup) http.HandlerFunc {
 	return func(w http.ResponseWriter, q *http.Request) {
 		v := q.URL.Query()
