--- a/internal/tenant/account.go
+++ b/internal/tenant/account.go
@@ -78,8 +78,8 @@
 	a.waiting.Put(e.Session, w)
 	a.waiting.SetDue(e.Session, e.Deadline)
 	t = t.withQueued(e.Session)
-	if t.alone.silentSince != 0 {
-		t = a.admitAlone(now, now, e.Tenant, t)
+	if t.alone.unreadySince != 0 {
+		t = a.admitAlone(now, e.Tenant, t)
 	}
 	a.tenants.Put(e.Tenant, t)
 }
@@ -127,6 +127,7 @@
 		}
 		t, _ := a.tenants.Get(name)
 		t.parcels, t.refusedUntil = nil, 0
+		t.admitted, t.alone = 0, t.alone.withNewLimit()
 		a.tenants.Put(name, t)
 		for _, id := range t.queue {
 			if w, ok := a.waiting.Get(id); ok && !limited {
@@ -141,7 +142,7 @@
 func (a *Account) abandonAsks(now time.Duration) {
 	for _, seq := range a.asks.Keys() {
 		if q, _ := a.asks.Get(seq); !q.overdue && a.homes.passedOver(now, q.home) {
-			a.unanswered(now, seq, q)
+			a.giveUp(seq, q)
 		}
 	}
 }
@@ -156,15 +157,6 @@
 	a.asks.SetDue(seq, q.at+a.lifetime)
 }
 
-// unanswered gives up a question, and admits what the node may admit without an answer.
-func (a *Account) unanswered(now time.Duration, seq uint64, q question) {
-	a.giveUp(seq, q)
-	for name := range q.needs {
-		t, _ := a.tenants.Get(name)
-		a.tenants.Put(name, a.admitAlone(now, now+silenceTime, name, t))
-	}
-}
-
 // receive uses the answer to a question.
 func (a *Account) receive(now time.Duration, from string, m Message) {
 	q, ok := a.asks.Get(m.Seq)
@@ -208,7 +200,7 @@
 		t.refusedUntil = 0
 	case g.Unready:
 		t.askAfter = now + askTimeout
-		t = a.admitAlone(now, now, g.Tenant, t)
+		t = a.admitAlone(now, g.Tenant, t)
 	case g.Filling:
 		t.askAfter = now + askTimeout
 	default:
@@ -243,7 +235,7 @@
 		if q, _ := a.asks.Get(seq); q.overdue {
 			a.asks.Delete(seq)
 		} else {
-			a.unanswered(now, seq, q)
+			a.giveUp(seq, q)
 		}
 	}
 	for _, name := range a.tenants.TakeDue(now) {
@@ -270,7 +262,7 @@
 		}
 		home := a.homes.home(now, name)
 		if home == "" {
-			t = a.admitAlone(now, now, name, t)
+			t = a.admitAlone(now, name, t)
 			a.tenants.Put(name, t)
 		}
 		if home == "" || now < t.askAfter {
--- a/internal/tenant/account_rows.go
+++ b/internal/tenant/account_rows.go
@@ -51,7 +51,7 @@
 	usedAt     time.Duration
 	admitted   float64
 	admittedAt time.Duration
-	// alone admits operations while no home answers.
+	// alone admits operations while no home is ready.
 	alone fallback
 }
 
--- a/internal/tenant/fallback.go
+++ b/internal/tenant/fallback.go
@@ -7,10 +7,8 @@
 
 const (
 	// fallbackPart is the part of its recent rate, or of an equal share of the limit, that a node admits without credit while no home
-	// answers. Nodes that are cut off and a home that has not noticed it yet thus stay within the tolerance together.
-	fallbackPart = 0.5
-	// silenceTime is how long after its first overdue question a node takes the home for silent. A late answer comes before.
-	silenceTime = 200 * time.Millisecond
+	// is ready. A home that only does not answer may be slow: operations wait until the membership suspects it. Nodes that are cut off and a home that has not noticed it yet thus stay within the tolerance together.
+	fallbackPart = 0.4
 	// admittedMemory is the time constant of the recent rate. It is as long as the window in which operations are bounded, so that a
 	// burst counts little.
 	admittedMemory = 5 * time.Second
@@ -22,35 +20,40 @@
 	fallbackBurst = 500 * time.Millisecond
 )
 
-// fallback is the token bucket with which a node admits operations of one tenant while no home answers. It is an immutable value.
+// fallback is the token bucket with which a node admits operations of one tenant while no home is ready. It is an immutable value.
 type fallback struct {
-	// silentSince is from when on the home counts as silent: some time after the first question that remained without an answer which
-	// says how much credit there is. It is zero if the last question had such an answer.
-	silentSince time.Duration
+	// unreadySince is when the first home was not ready, zero if the last answer said how much credit there is.
+	unreadySince time.Duration
 	// recentRate is the rate of the node's admitted operations at that time.
 	recentRate float64
 	tokens     float64
 	at         time.Duration
 }
 
-// withSilence returns the bucket for a home that counts as silent from the given time on.
-func (f fallback) withSilence(from time.Duration, recentRate float64) fallback {
-	if f.silentSince == 0 {
-		f.silentSince, f.recentRate = from, recentRate
+// withUnready returns the bucket after a home was not ready.
+func (f fallback) withUnready(now time.Duration, recentRate float64) fallback {
+	if f.unreadySince == 0 {
+		f.unreadySince, f.recentRate = now, recentRate
 	}
 	return f
 }
 
 // withAnswer returns the bucket after an answer of a home. Its tokens stay, so that homes that come and go do not fill it anew.
 func (f fallback) withAnswer() fallback {
-	f.silentSince = 0
+	f.unreadySince = 0
+	return f
+}
+
+// withNewLimit returns the bucket after the tenant's limit has changed: the rate of before may be far above the new one.
+func (f fallback) withNewLimit() fallback {
+	f.recentRate, f.tokens = 0, min(f.tokens, 1)
 	return f
 }
 
 // withTime returns the bucket as of now, for a node whose equal share of the limit is given in operations per second.
 func (f fallback) withTime(now time.Duration, share float64) fallback {
 	rate := share * lateFallbackPart
-	if now < f.silentSince+recentRateTime {
+	if now < f.unreadySince+recentRateTime {
 		rate = max(share, f.recentRate) * fallbackPart
 	}
 	size := max(1, rate*fallbackBurst.Seconds())
@@ -63,9 +66,9 @@
 	return f
 }
 
-// withoutOne returns the bucket without one operation, and whether it had one for a home that is silent now.
-func (f fallback) withoutOne(now time.Duration) (fallback, bool) {
-	if f.silentSince == 0 || now < f.silentSince || f.tokens < 1 {
+// withoutOne returns the bucket without one operation, and whether it had one.
+func (f fallback) withoutOne() (fallback, bool) {
+	if f.unreadySince == 0 || f.tokens < 1 {
 		return f, false
 	}
 	f.tokens--
@@ -92,12 +95,11 @@
 	return l.Rate / float64(max(1, h.members.Known, h.members.Alive))
 }
 
-// admitAlone admits operations of a tenant that wait while no home answers, as far as the node's own bucket goes. The home counts
-// as silent from the given time on.
-func (a *Account) admitAlone(now, from time.Duration, name string, t account) account {
-	t.alone = t.alone.withSilence(from, t.admittedRate(now)).withTime(now, a.homes.equalShare(a.limits[name]))
+// admitAlone admits operations of a tenant that wait while no home is ready, as far as the node's own bucket goes.
+func (a *Account) admitAlone(now time.Duration, name string, t account) account {
+	t.alone = t.alone.withUnready(now, t.admittedRate(now)).withTime(now, a.homes.equalShare(a.limits[name]))
 	for len(t.queue) > 0 {
-		f, ok := t.alone.withoutOne(now)
+		f, ok := t.alone.withoutOne()
 		if !ok {
 			break
 		}
