--- a/internal/tenant/fallback.go
+++ b/internal/tenant/fallback.go
@@ -7,8 +7,8 @@
 
 const (
 	// fallbackPart is the part of its recent rate, or of an equal share of the limit, that a node admits without credit while no home
-	// is ready. Nodes that are cut off and a home that has not noticed it yet thus stay within the tolerance together. A home that only
-	// does not answer may be slow: operations wait until the membership suspects it.
+	// is ready. Nodes that are cut off and a home that has not noticed it yet thus stay within the tolerance together. A home that
+	// only does not answer may be slow: operations wait until the membership suspects it.
 	fallbackPart = 0.4
 	// admittedMemory is the time constant of the recent rate. It is as long as the window in which operations are bounded, so that a
 	// burst counts little.
