--- a/cmd/buckthornport-fleet/stop_test.go
+++ b/cmd/buckthornport-fleet/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -312,16 +313,19 @@
 	name   string
 	// database is the one that the caller connects to.
 	database string
-	n        int
-	proxy    *proxyProcess
-	conn     net.Conn
-	r        *bufio.Reader
+	// key is the key of the caller's tenant.
+	key   string
+	n     int
+	proxy *proxyProcess
+	conn  net.Conn
+	r     *bufio.Reader
 }
 
 // call plays operations with pauses until the soak ends.
 func (s *soak) call(name string, p *proxyProcess, seed int64) {
 	k := &caller{s: s, random: rand.New(rand.NewSource(seed)), name: name, proxy: p}
 	k.database = []string{"ledger", "board", "tickets"}[k.random.Intn(3)]
+	k.key = []string{"key-shops", "key-revoked", "key-offices"}[int(seed%3)]
 	for time.Now().Before(s.end) {
 		if k.conn == nil && !k.connect() {
 			time.Sleep(20 * time.Millisecond)
@@ -342,8 +346,7 @@
 	}
 	k.conn, k.r = conn, bufio.NewReader(conn)
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
-	key := []string{"key-shops", "key-revoked", "key-offices"}[k.random.Intn(3)]
-	_, _ = fmt.Fprintf(conn, "STARTUP %s %s\r\n", k.database, key)
+	_, _ = fmt.Fprintf(conn, "STARTUP %s %s\r\n", k.database, cmp.Or(k.key, "key-shops"))
 	l, err := k.r.ReadString('\n')
 	if err != nil || !strings.HasPrefix(l, "READY") {
 		_ = conn.Close()
