--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,6 +21,7 @@
 var errBroken = errors.New("the rule was broken")
 
 var cases = map[string]func(h *harness) error{
+	"leak":   playLeak,
 	"reborn": playReborn,
 	"unread": playUnread,
 }
--- a/review/standin-2/unread.go
+++ b/review/standin-2/unread.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -22,6 +23,8 @@
 	// aheadBytes is what each of them sends without reading the answers, in messages of legal size.
 	aheadBytes   = 1 << 20
 	messageBytes = 1000
+	// minDescriptors is what the callers of the crowd and the program need.
+	minDescriptors = 8000
 	// valuesAhead is the number of session values and of prepared statements that come first. A session may have more.
 	valuesAhead = 120
 	// smallConfig is the configuration of a small deployment.
@@ -35,6 +38,13 @@
 // playUnread checks that a process stays within the memory of its machine while callers send messages ahead. As on the platform,
 // bytes that have been received and not yet read count.
 func playUnread(h *harness) error {
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil {
+		return err
+	}
+	if files.Max < minDescriptors {
+		return fmt.Errorf("the limit of %d descriptors is below %d", files.Max, minDescriptors)
+	}
 	_, store, err := h.startPlatform(smallConfig)
 	if err != nil {
 		return err
